Start the tree: build, result codes, world types, lint

Cause: nothing stood yet; every later part needs the shared types, the result codes and a check that gives one verdict. Change: CMake with presets, one library and one test program a module, clang-format and clang-tidy set to the style, the numbered result codes with a page held to the code by a test, plain types for targets, services, contracts and answers. Conclusion: a green base for the parts that follow.

--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,33 @@
+# tarragon_module(NAME DEPS...): a static library from every source of the
+# folder (internal/ and types/ too) and, when tests/ has sources, one test
+# program NAME_tests registered with CTest.
+function(tarragon_module NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp internal/*.cpp types/*.cpp)
+  file(GLOB TEST_SOURCES CONFIGURE_DEPENDS tests/*.cpp)
+  set(LIBRARY tarragon_${NAME})
+  if(SOURCES)
+    add_library(${LIBRARY} STATIC ${SOURCES})
+    target_link_libraries(${LIBRARY} PUBLIC ${ARGN})
+    tarragon_precompile(${LIBRARY})
+  else()
+    add_library(${LIBRARY} INTERFACE)
+    target_link_libraries(${LIBRARY} INTERFACE ${ARGN})
+  endif()
+  if(TEST_SOURCES)
+    add_executable(${NAME}_tests ${TEST_SOURCES})
+    target_compile_definitions(${NAME}_tests PRIVATE
+      TARRAGON_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+    target_link_libraries(${NAME}_tests PRIVATE ${LIBRARY}
+                          Boost::unit_test_framework)
+    add_test(NAME ${NAME}_tests COMMAND ${NAME}_tests)
+  endif()
+endfunction()
+
+# Standard headers that nearly every source takes in.
+function(tarragon_precompile TARGET)
+  if(TARRAGON_PCH)
+    target_precompile_headers(${TARGET} PRIVATE
+      <algorithm> <chrono> <cstdint> <functional> <map> <memory> <mutex>
+      <optional> <string> <string_view> <unordered_map> <variant> <vector>)
+  endif()
+endfunction()
--- /dev/null
+++ b/src/global/log.cpp
@@ -0,0 +1,135 @@
+#include "global/log.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/trivial.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <json/json.h>
+
+#include <atomic>
+#include <chrono>
+#include <iostream>
+
+namespace tarragon::log {
+
+namespace {
+
+namespace trivial = boost::log::trivial;
+
+std::atomic<format> CurrentForm{format::Text};
+
+auto severity(const level Level) -> trivial::severity_level {
+  switch (Level) {
+  case level::Debug:
+    return trivial::debug;
+  case level::Info:
+    return trivial::info;
+  case level::Warning:
+    return trivial::warning;
+  case level::Error:
+    return trivial::error;
+  }
+  return trivial::error;
+}
+
+auto levelName(const level Level) -> std::string_view {
+  return trivial::to_string(severity(Level));
+}
+
+auto unixMilliseconds() -> Json::Int64 {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Now).count();
+}
+
+auto textLine(const level Level, const part Part,
+              const std::string_view Sentence,
+              const std::initializer_list<field> Fields) -> std::string {
+  std::string Line = std::to_string(unixMilliseconds());
+  Line += ' ';
+  Line += levelName(Level);
+  Line += ' ';
+  Line += prefix(Part);
+  Line += ": ";
+  Line += Sentence;
+  for (const field &Field : Fields) {
+    Line += ' ';
+    Line += Field.Name;
+    Line += '=';
+    Line += Field.Value;
+  }
+  return Line;
+}
+
+auto jsonLine(const level Level, const part Part,
+              const std::string_view Sentence,
+              const std::initializer_list<field> Fields) -> std::string {
+  Json::Value Object;
+  Object["time_ms"] = unixMilliseconds();
+  Object["level"] = std::string(levelName(Level));
+  Object["part"] = std::string(prefix(Part));
+  Object["message"] = std::string(Sentence);
+  for (const field &Field : Fields)
+    Object[std::string(Field.Name)] = Field.Value;
+  Json::StreamWriterBuilder Builder;
+  Builder["indentation"] = "";
+  return Json::writeString(Builder, Object);
+}
+
+} // namespace
+
+auto prefix(const part Part) -> std::string_view {
+  switch (Part) {
+  case part::Global:
+    return "global";
+  case part::Config:
+    return "config";
+  case part::Platform:
+    return "platform";
+  case part::Membership:
+    return "membership";
+  case part::Admission:
+    return "admission";
+  case part::Query:
+    return "query";
+  case part::Once:
+    return "once";
+  case part::Transport:
+    return "transport";
+  case part::Report:
+    return "report";
+  case part::Entry:
+    return "entry";
+  case part::Tool:
+    return "tool";
+  }
+  return "global";
+}
+
+auto setUp(const level Lowest, const format Form) -> void {
+  CurrentForm = Form;
+  static const auto Sink = boost::log::add_console_log(
+      std::clog, boost::log::keywords::format = "%Message%",
+      boost::log::keywords::auto_flush = true);
+  boost::log::core::get()->set_filter(trivial::severity >= severity(Lowest));
+}
+
+auto write(const level Level, const part Part, const std::string_view Sentence,
+           const std::initializer_list<field> Fields) -> void {
+  static boost::log::sources::severity_logger_mt<trivial::severity_level>
+      Logger;
+  // Filters first, so that a suppressed line costs no formatting.
+  auto Record =
+      Logger.open_record(boost::log::keywords::severity = severity(Level));
+  if (!Record)
+    return;
+  const bool Json = CurrentForm.load() == format::Json;
+  boost::log::record_ostream Stream(Record);
+  Stream << (Json ? jsonLine(Level, Part, Sentence, Fields)
+                  : textLine(Level, Part, Sentence, Fields));
+  Stream.flush();
+  Logger.push_record(std::move(Record));
+}
+
+} // namespace tarragon::log
--- /dev/null
+++ b/src/global/tests/global_tests.cpp
@@ -0,0 +1,55 @@
+#define BOOST_TEST_MODULE global
+#include <boost/test/unit_test.hpp>
+
+#include "global/hash.h"
+#include "global/resultcode.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace {
+
+auto readPage(const std::string &Name) -> std::string {
+  std::ifstream File(std::string(TARRAGON_SOURCE_DIR) + "/docs/" + Name);
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(result_page_holds_every_code_and_no_other) {
+  const std::string Page = readPage("RESULT_CODES.md");
+  std::size_t Rows = 0;
+  for (const auto &Row : tarragon::resultTable()) {
+    std::ostringstream Line;
+    Line << "| " << static_cast<int>(Row.Code) << " | `" << Row.Name << "` | "
+         << Row.HttpStatus << " | " << Row.Meaning << " |\n";
+    BOOST_TEST(Page.find(Line.str()) != std::string::npos, Line.str());
+    ++Rows;
+  }
+  std::size_t PageRows = 0;
+  for (std::size_t At = Page.find("\n| "); At != std::string::npos;
+       At = Page.find("\n| ", At + 1))
+    ++PageRows;
+  BOOST_TEST(PageRows == Rows + 2); // the head and its rule
+}
+
+BOOST_AUTO_TEST_CASE(numbers_ascend_and_round_trip) {
+  int Last = -1;
+  for (const auto &Row : tarragon::resultTable()) {
+    const int Number = static_cast<int>(Row.Code);
+    BOOST_TEST(Number > Last);
+    Last = Number;
+    BOOST_TEST((tarragon::resultFromNumber(Number) == Row.Code));
+    const bool Named = Row.Name.starts_with("not_run");
+    BOOST_TEST(tarragon::isNotRun(Row.Code) == Named);
+  }
+  BOOST_TEST(!tarragon::resultFromNumber(9999).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(hashes_are_stable) {
+  BOOST_TEST(tarragon::hash64("a") == tarragon::hash64("a"));
+  BOOST_TEST(tarragon::hash64("a") != tarragon::hash64("a", 1));
+  BOOST_TEST(tarragon::contentHash("x").size() == 32U);
+}
--- /dev/null
+++ b/src/world/types/deployment.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "global/types/time.h"
+#include "world/types/contract.h"
+#include "world/types/service.h"
+
+#include <vector>
+
+namespace tarragon {
+
+/// One accepted configuration: everything the operators declare.
+struct deployment {
+  int MostInstances = 8; ///< live at once, overlap of replacements included
+  milliseconds AddressLifetime{5000};
+  milliseconds PoisonHold{600000};
+  std::vector<service> Services;
+  std::vector<contract> Contracts;
+
+  auto operator==(const deployment &) const -> bool = default;
+
+  /// The service named \p Id, or null.
+  auto findService(const service_id &Id) const -> const service * {
+    for (const service &Service : Services)
+      if (Service.Id == Id)
+        return &Service;
+    return nullptr;
+  }
+
+  /// The contract named \p Id, or null.
+  auto findContract(const contract_id &Id) const -> const contract * {
+    for (const contract &Contract : Contracts)
+      if (Contract.Id == Id)
+        return &Contract;
+    return nullptr;
+  }
+};
+
+} // namespace tarragon
--- /dev/null
+++ b/src/world/types/heldversion.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "world/types/ids.h"
+
+#include <cstddef>
+
+namespace tarragon {
+
+/// An index version that a target holds, and into how many shards its
+/// service is partitioned in that version.
+struct held_version {
+  index_version Version = 0;
+  std::size_t ShardCount = 0;
+
+  auto operator==(const held_version &) const -> bool = default;
+};
+
+} // namespace tarragon
--- /dev/null
+++ b/src/world/types/queryanswer.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "global/resultcode.h"
+#include "world/types/coverage.h"
+#include "world/types/item.h"
+
+#include <string>
+#include <vector>
+
+namespace tarragon {
+
+/// The whole answer to one caller's request.
+struct query_answer {
+  std::string RequestId;
+  result_code Code = result_code::Internal;
+  std::string Detail; ///< one sentence; empty when all is well
+  index_version Version = 0;
+  coverage Coverage;
+  std::vector<item> Items;
+  std::string Continuation; ///< empty on the last page
+  std::uint32_t Attempts = 0;
+
+  auto operator==(const query_answer &) const -> bool = default;
+};
+
+} // namespace tarragon
