Agree the module interfaces and the wire protocols

Cause: parts are built side by side and need one set of types first. Conclusion: decisions are pure (event and time in, actions out), so that each can be proved without processes.

--- /dev/null
+++ b/src/admission/groupdispatcher.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "admission/types/attemptresult.h"
+#include "admission/types/dispatchaction.h"
+#include "admission/types/dispatcherrole.h"
+#include "admission/types/targetsign.h"
+#include "world/types/service.h"
+
+#include <optional>
+
+namespace tarragon::admission {
+
+/// Admits subrequests to the targets of one replica group: queue, slots,
+/// replica choice, hedges, retries, ejection. Pure; not locked.
+class group_dispatcher {
+public:
+  group_dispatcher(const service &Service, const replica_group &Group,
+                   dispatcher_settings Settings, dispatcher_role Role);
+
+  auto submit(subrequest Request, time_point Now) -> dispatch_actions;
+  auto onAttemptDone(const attempt_result &Result, time_point Now)
+      -> dispatch_actions;
+  auto cancel(const subrequest_id &Id, const instance_id &Root, time_point Now)
+      -> dispatch_actions;
+  auto onTargetSign(const target_id &Target, target_sign Sign, time_point Now)
+      -> dispatch_actions;
+  auto setRole(dispatcher_role Role, time_point Now) -> dispatch_actions;
+
+  /// Takes a changed configuration; targets that are gone get no new work.
+  auto reconfigure(const service &Service, const replica_group &Group,
+                   int MostInstances, time_point Now) -> dispatch_actions;
+
+  auto onTimer(time_point Now) -> dispatch_actions;
+  auto nextWake() const -> std::optional<time_point>;
+
+  /// Whether nothing is queued or in flight.
+  auto idle() const -> bool;
+};
+
+} // namespace tarragon::admission
--- /dev/null
+++ b/src/admission/types/targetsign.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace tarragon::admission {
+
+/// What a source other than an answer says of a target.
+enum class target_sign {
+  Leaving, ///< the platform's list, a peer or the target says it drains
+  Returned ///< listed live again after it left
+};
+
+} // namespace tarragon::admission
--- /dev/null
+++ b/src/membership/types/gossipmessage.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "membership/types/memberupdate.h"
+
+#include <vector>
+
+namespace tarragon::membership {
+
+enum class gossip_kind { Ping, Ack, PingRequest };
+
+/// A probe or its answer, with updates carried along.
+struct gossip_message {
+  gossip_kind Kind = gossip_kind::Ping;
+  std::uint64_t Sequence = 0;
+  instance From;
+  instance_id About;         ///< PingRequest and its Ack: who is probed
+  config_version Config = 0; ///< in force at the sender
+  std::vector<member_update> Updates;
+};
+
+/// A message and the instance it goes to.
+struct outgoing_gossip {
+  instance To;
+  gossip_message Message;
+};
+
+} // namespace tarragon::membership
--- /dev/null
+++ b/src/platform/iobjectstore.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "global/result.h"
+#include "global/types/time.h"
+#include "platform/types/storedobject.h"
+#include "platform/types/watchreply.h"
+#include "world/types/instance.h"
+
+#include <concepts>
+#include <string>
+#include <vector>
+
+namespace tarragon::platform {
+
+/// The platform's object API, called synchronously. Failures: ObjectMissing,
+/// ObjectConflict (the write did not happen), PlatformUnavailable (proven not
+/// done), ReplyLost (a write may have taken effect).
+template <class Store>
+concept object_store = requires(Store &Platform, const std::string &Key,
+                                const std::string &Value,
+                                object_version Version, std::uint64_t Revision,
+                                milliseconds Wait) {
+  { Platform.get(Key) } -> std::same_as<result<stored_object>>;
+  { Platform.put(Key, Value, Version) } -> std::same_as<result<object_version>>;
+  { Platform.remove(Key, Version) } -> std::same_as<result<void>>;
+  { Platform.list(Key) } -> std::same_as<result<std::vector<stored_object>>>;
+  { Platform.watch(Key, Revision, Wait) } -> std::same_as<result<watch_reply>>;
+  { Platform.instances() } -> std::same_as<result<std::vector<instance>>>;
+};
+
+} // namespace tarragon::platform
