--- /dev/null
+++ b/src/transport/httpserver.cpp
@@ -0,0 +1,110 @@
+#include "transport/httpserver.h"
+
+#include "transport/internal/responderchannel.h"
+
+#include <pistache/endpoint.h>
+
+#include <charconv>
+
+namespace tarragon::transport {
+
+namespace {
+
+namespace http = Pistache::Http;
+
+auto toRequest(const http::Request &From) -> http_request {
+  http_request Request;
+  Request.Method = http::methodString(From.method());
+  Request.Path = From.resource();
+  Request.Body = From.body();
+  const auto &Query = From.query();
+  for (auto It = Query.parameters_begin(); It != Query.parameters_end(); ++It)
+    Request.Parameters.emplace(It->first, It->second);
+  const auto Authorization =
+      From.headers().tryGet<http::Header::Authorization>();
+  if (Authorization)
+    Request.Authorization = Authorization->value();
+  return Request;
+}
+
+class request_handler : public http::Handler {
+public:
+  HTTP_PROTOTYPE(request_handler)
+
+  explicit request_handler(http_server::handler Handler)
+      : Handler(std::move(Handler)) {}
+
+  auto onRequest(const http::Request &Request, http::ResponseWriter Response)
+      -> void override {
+    Handler(toRequest(Request),
+            http_responder(std::make_unique<http_responder::channel>(
+                std::move(Response))));
+  }
+
+private:
+  http_server::handler Handler;
+};
+
+} // namespace
+
+class http_server::endpoint {
+public:
+  explicit endpoint(const Pistache::Address &Address) : Endpoint(Address) {}
+
+  Pistache::Http::Endpoint Endpoint;
+};
+
+http_server::http_server(http_server_settings Settings)
+    : Settings(std::move(Settings)) {}
+
+http_server::~http_server() { stop(); }
+
+auto http_server::start(handler Handler) -> result<void> {
+  const auto Split = splitAddress(Settings.Listen);
+  if (!Split)
+    return Split.error();
+  try {
+    const Pistache::Address Address(Split.value().Host,
+                                    Pistache::Port(Split.value().Port));
+    Endpoint = std::make_unique<endpoint>(Address);
+    const auto Options = http::Endpoint::options()
+                             .threads(Settings.Threads)
+                             .flags(Pistache::Tcp::Options::NoDelay |
+                                    Pistache::Tcp::Options::ReuseAddr |
+                                    Pistache::Tcp::Options::CloseOnExec)
+                             .maxRequestSize(Settings.MostBytes)
+                             .maxResponseSize(64 * Settings.MostBytes);
+    Endpoint->Endpoint.init(Options);
+    Endpoint->Endpoint.setHandler(
+        std::make_shared<request_handler>(std::move(Handler)));
+    Endpoint->Endpoint.serveThreaded();
+  } catch (const std::exception &Error) {
+    Endpoint.reset();
+    return fail(result_code::AddressInUse,
+                Settings.Listen + ": " + Error.what());
+  }
+  return succeed();
+}
+
+auto http_server::stop() -> void {
+  if (!Endpoint)
+    return;
+  Endpoint->Endpoint.shutdown();
+  Endpoint.reset();
+}
+
+auto splitAddress(const address &Address) -> result<host_port> {
+  const auto Colon = Address.rfind(':');
+  if (Colon == std::string::npos || Colon == 0)
+    return fail(result_code::BadSetting, "'" + Address + "' is no IP:port");
+  host_port Split;
+  Split.Host = Address.substr(0, Colon);
+  const char *const First = Address.data() + Colon + 1;
+  const char *const Last = Address.data() + Address.size();
+  const auto [End, Error] = std::from_chars(First, Last, Split.Port);
+  if (Error != std::errc{} || End != Last)
+    return fail(result_code::BadSetting, "'" + Address + "' has a bad port");
+  return Split;
+}
+
+} // namespace tarragon::transport
--- /dev/null
+++ b/src/transport/internal/responderchannel.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "transport/httpresponder.h"
+
+#include <pistache/http.h>
+
+namespace tarragon::transport {
+
+/// Holds the library's writer until it is used.
+class http_responder::channel {
+public:
+  explicit channel(Pistache::Http::ResponseWriter Writer)
+      : Writer(std::move(Writer)) {}
+
+  auto send(int Status, const std::string &Body, const char *MimeType) -> void;
+
+private:
+  Pistache::Http::ResponseWriter Writer;
+};
+
+} // namespace tarragon::transport
--- /dev/null
+++ b/src/transport/linkloop.cpp
@@ -0,0 +1,163 @@
+#include "transport/linkloop.h"
+
+#include "transport/internal/exchange.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace tarragon::transport {
+
+namespace {
+
+struct pending_call {
+  http_call Call;
+  link_loop::completion Done;
+};
+
+auto initLibrary() -> void {
+  static const CURLcode Code = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(Code);
+}
+
+} // namespace
+
+/// The loop's thread and all that only it touches.
+class link_loop::worker {
+public:
+  explicit worker(const link_loop_settings Settings)
+      : Multi(curl_multi_init()) {
+    limit(Settings.ConnectionsPerAddress);
+    Thread = std::thread([this] { run(); });
+  }
+
+  ~worker() {
+    Stopping = true;
+    curl_multi_wakeup(Multi);
+    Thread.join();
+    for (auto &[Handle, Exchange] : Active)
+      curl_multi_remove_handle(Multi, Handle);
+    Active.clear();
+    for (CURL *const Handle : Spare)
+      curl_easy_cleanup(Handle);
+    curl_multi_cleanup(Multi);
+  }
+
+  auto submit(pending_call Pending) -> void {
+    {
+      const std::lock_guard Lock(Mutex);
+      Queue.push_back(std::move(Pending));
+    }
+    curl_multi_wakeup(Multi);
+  }
+
+  auto limit(const long PerAddress) -> void { WantedLimit = PerAddress; }
+
+  auto opened() const -> std::uint64_t { return Opened; }
+
+private:
+  static constexpr int PollMilliseconds = 1000;
+  static constexpr std::size_t MostSpareHandles = 256;
+
+  auto run() -> void {
+    while (!Stopping) {
+      applyLimit();
+      startQueued();
+      int Running = 0;
+      curl_multi_perform(Multi, &Running);
+      finishDone();
+      curl_multi_poll(Multi, nullptr, 0, PollMilliseconds, nullptr);
+    }
+  }
+
+  auto applyLimit() -> void {
+    const long Wanted = WantedLimit;
+    if (Wanted == Limit)
+      return;
+    Limit = Wanted;
+    curl_multi_setopt(Multi, CURLMOPT_MAX_HOST_CONNECTIONS, Limit);
+  }
+
+  auto startQueued() -> void {
+    std::vector<pending_call> Started;
+    {
+      const std::lock_guard Lock(Mutex);
+      Started.swap(Queue);
+    }
+    for (pending_call &Pending : Started)
+      startOne(std::move(Pending));
+  }
+
+  auto startOne(pending_call Pending) -> void {
+    CURL *const Handle = takeHandle();
+    auto Exchange = std::make_unique<exchange>(Handle, std::move(Pending.Call),
+                                               std::move(Pending.Done));
+    Active.emplace(Handle, std::move(Exchange));
+    curl_multi_add_handle(Multi, Handle);
+  }
+
+  auto takeHandle() -> CURL * {
+    if (Spare.empty())
+      return curl_easy_init();
+    CURL *const Handle = Spare.back();
+    Spare.pop_back();
+    return Handle;
+  }
+
+  auto finishDone() -> void {
+    int Left = 0;
+    while (const CURLMsg *const Message = curl_multi_info_read(Multi, &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      finishOne(Message->easy_handle, Message->data.result);
+    }
+  }
+
+  auto finishOne(CURL *const Handle, const CURLcode Code) -> void {
+    long Connects = 0;
+    curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &Connects);
+    Opened += static_cast<std::uint64_t>(Connects);
+    curl_multi_remove_handle(Multi, Handle);
+    const auto Exchange = std::move(Active[Handle]);
+    Active.erase(Handle);
+    Exchange->finish(Code);
+    if (Spare.size() >= MostSpareHandles)
+      return;
+    curl_easy_reset(Handle);
+    Spare.push_back(Exchange->releaseHandle());
+  }
+
+  CURLM *Multi;
+  std::atomic<bool> Stopping{false};
+  std::atomic<long> WantedLimit{0};
+  long Limit = 0;
+  std::atomic<std::uint64_t> Opened{0};
+  std::mutex Mutex; // rank 90: nothing else is locked under it
+  std::vector<pending_call> Queue;
+  std::unordered_map<CURL *, std::unique_ptr<exchange>> Active;
+  std::vector<CURL *> Spare;
+  std::thread Thread;
+};
+
+link_loop::link_loop(const link_loop_settings Settings) {
+  initLibrary();
+  Worker = std::make_unique<worker>(Settings);
+}
+
+link_loop::~link_loop() = default;
+
+auto link_loop::start(http_call Call, completion Done) -> void {
+  Worker->submit({std::move(Call), std::move(Done)});
+}
+
+auto link_loop::limitConnections(const long PerAddress) -> void {
+  Worker->limit(PerAddress);
+}
+
+auto link_loop::connectionsOpened() const -> std::uint64_t {
+  return Worker->opened();
+}
+
+} // namespace tarragon::transport
--- /dev/null
+++ b/src/transport/workerpool.cpp
@@ -0,0 +1,76 @@
+#include "transport/workerpool.h"
+
+namespace tarragon::transport {
+
+worker_pool::worker_pool(const int Count) {
+  for (int Index = 0; Index < Count; ++Index)
+    Threads.emplace_back([this] { run(); });
+}
+
+worker_pool::~worker_pool() { stop(); }
+
+auto worker_pool::post(job Job) -> void {
+  {
+    const std::lock_guard Lock(Mutex);
+    Ready.push_back(std::move(Job));
+  }
+  Changed.notify_one();
+}
+
+auto worker_pool::postAt(const time_point When, job Job) -> void {
+  bool Earliest = false;
+  {
+    const std::lock_guard Lock(Mutex);
+    const auto Added = Later.emplace(When, std::move(Job));
+    Earliest = Added == Later.begin();
+  }
+  if (Earliest)
+    Changed.notify_one();
+}
+
+auto worker_pool::stop() -> void {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  for (std::thread &Thread : Threads)
+    if (Thread.joinable())
+      Thread.join();
+}
+
+auto worker_pool::run() -> void {
+  std::unique_lock Lock(Mutex);
+  while (!Stopping) {
+    const job Job = takeJob(Lock);
+    if (!Job)
+      continue;
+    Lock.unlock();
+    Job();
+    Lock.lock();
+  }
+}
+
+auto worker_pool::takeJob(std::unique_lock<std::mutex> &Lock) -> job {
+  const auto Now = std::chrono::steady_clock::now();
+  if (!Later.empty() && Later.begin()->first <= Now) {
+    job Job = std::move(Later.begin()->second);
+    Later.erase(Later.begin());
+    // Another thread must now wait for the next one in time.
+    if (!Later.empty())
+      Changed.notify_one();
+    return Job;
+  }
+  if (!Ready.empty()) {
+    job Job = std::move(Ready.front());
+    Ready.pop_front();
+    return Job;
+  }
+  if (Later.empty())
+    Changed.wait(Lock);
+  else
+    Changed.wait_until(Lock, Later.begin()->first);
+  return {};
+}
+
+} // namespace tarragon::transport
