Dispatch subrequests to a replica group and track poison

Cause: the daemon needs the decision code behind the admission headers. Change: group_dispatcher queues by deadline, picks the least loaded replica within the slots, retries what was proven not run, and settles once; poison_tracker holds a request after crashes of two distinct targets, one of them on a run apart, so that requests beside a culprit are cleared by a run apart. crash_report gains Apart and Age with defaults.

--- a/src/admission/groupdispatcher.h
+++ b/src/admission/groupdispatcher.h
@@ -6,16 +6,24 @@
 #include "admission/types/targetsign.h"
 #include "world/types/service.h"
 
+#include <memory>
 #include <optional>
 
 namespace tarragon::admission {
 
+namespace internal {
+class dispatcher_core;
+} // namespace internal
+
 /// Admits subrequests to the targets of one replica group: queue, slots,
 /// replica choice, hedges, retries, ejection. Pure; not locked.
 class group_dispatcher {
 public:
   group_dispatcher(const service &Service, const replica_group &Group,
                    dispatcher_settings Settings, dispatcher_role Role);
+  ~group_dispatcher();
+  group_dispatcher(group_dispatcher &&) noexcept;
+  auto operator=(group_dispatcher &&) noexcept -> group_dispatcher &;
 
   auto submit(subrequest Request, time_point Now) -> dispatch_actions;
   auto onAttemptDone(const attempt_result &Result, time_point Now)
@@ -35,6 +43,9 @@
 
   /// Whether nothing is queued or in flight.
   auto idle() const -> bool;
+
+private:
+  std::unique_ptr<internal::dispatcher_core> Core;
 };
 
 } // namespace tarragon::admission
--- /dev/null
+++ b/src/admission/internal/attemptstate.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "admission/internal/requeststate.h"
+
+#include <cstddef>
+
+namespace tarragon::admission::internal {
+
+/// An attempt that was started and has no result yet.
+struct attempt_state {
+  request_number Request = 0;
+  std::size_t Target = 0; ///< position in the target pool
+  time_point StartedAt;
+  bool Suspect = false;
+  bool Cancelled = false;
+  time_point GiveUpAt; ///< of a cancelled one: when its slot is freed
+};
+
+} // namespace tarragon::admission::internal
--- a/src/admission/poisontracker.h
+++ b/src/admission/poisontracker.h
@@ -3,6 +3,9 @@
 #include "admission/types/crashreport.h"
 #include "global/types/time.h"
 
+#include <list>
+#include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace tarragon::admission {
@@ -13,9 +16,13 @@
   Held     ///< crashed distinct targets: refuse it
 };
 
-/// Which requests are suspected of crashing targets. Pure; not locked.
+/// Which requests are suspected of crashing targets. A request is held after
+/// crashes of two distinct targets, one of which it ran on as a suspect:
+/// those that merely ran beside the culprit are cleared by a run apart. Pure;
+/// not locked.
 class poison_tracker {
 public:
+  /// Crashes count for \p Hold after they were seen.
   explicit poison_tracker(milliseconds Hold);
 
   /// Takes a crash seen here or told by a peer; the same one counts once.
@@ -28,6 +35,29 @@
 
   /// The reports not yet expired, at most \p Most, newest first, for peers.
   auto reports(std::size_t Most, time_point Now) -> std::vector<crash_report>;
+
+private:
+  struct crash {
+    target_id Target;
+    bool Apart = false;
+    bool Excused = false; ///< the request succeeded after it
+    time_point SeenAt;
+  };
+  struct record {
+    fingerprint Fingerprint = 0;
+    std::vector<crash> Crashes; ///< of distinct targets
+    std::optional<time_point> HeldAt;
+  };
+  using records = std::list<record>; ///< the last changed first
+
+  auto touch(fingerprint Fingerprint) -> record &;
+  auto find(fingerprint Fingerprint, time_point Now) -> record *;
+  auto dropExpired(record &Record, time_point Now) const -> void;
+  auto dropSurplus() -> void;
+
+  milliseconds Hold;
+  records Records;
+  std::unordered_map<fingerprint, records::iterator> Index;
 };
 
 } // namespace tarragon::admission
--- /dev/null
+++ b/src/admission/tests/poisontracker_tests.cpp
@@ -0,0 +1,61 @@
+#define BOOST_TEST_MODULE admission
+#include "admission/poisontracker.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace tarragon;
+using namespace tarragon::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr milliseconds Hold = 10min;
+const time_point Start{1h};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(crashes_of_two_targets_hold_a_request) {
+  poison_tracker Tracker(Hold);
+  Tracker.recordCrash({1, "t1", false}, Start);
+  BOOST_TEST((Tracker.verdict(1, Start) == poison_verdict::Suspect));
+  Tracker.recordCrash({1, "t1", true}, Start);
+  BOOST_TEST((Tracker.verdict(1, Start) == poison_verdict::Suspect));
+  Tracker.recordCrash({1, "t2", true}, Start + 1s);
+  BOOST_TEST((Tracker.verdict(1, Start + 1s) == poison_verdict::Held));
+  Tracker.recordSuccess(1);
+  BOOST_TEST((Tracker.verdict(1, Start + 9min) == poison_verdict::Held));
+  BOOST_TEST((Tracker.verdict(1, Start + 11min) == poison_verdict::Clear));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_beside_the_culprit_is_not_held) {
+  poison_tracker Tracker(Hold);
+  for (const char *Target : {"t1", "t2", "t3"})
+    Tracker.recordCrash({2, Target, false}, Start);
+  BOOST_TEST((Tracker.verdict(2, Start) == poison_verdict::Suspect));
+  Tracker.recordSuccess(2);
+  BOOST_TEST((Tracker.verdict(2, Start) == poison_verdict::Clear));
+  Tracker.recordCrash({2, "t1", false}, Start + 1s);
+  BOOST_TEST((Tracker.verdict(2, Start + 1s) == poison_verdict::Clear));
+  BOOST_TEST(Tracker.reports(10, Start + 1s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(told_reports_do_not_outlive_the_first_sight) {
+  poison_tracker First(Hold);
+  poison_tracker Second(Hold);
+  First.recordCrash({3, "t1", true}, Start);
+  First.recordCrash({3, "t2", true}, Start);
+  for (const crash_report &Report : First.reports(10, Start + 9min))
+    Second.recordCrash(Report, Start + 9min);
+  BOOST_TEST((Second.verdict(3, Start + 9min) == poison_verdict::Held));
+  BOOST_TEST((Second.verdict(3, Start + 10min) == poison_verdict::Clear));
+}
+
+BOOST_AUTO_TEST_CASE(memory_is_bounded_and_held_ones_stay) {
+  poison_tracker Tracker(Hold);
+  Tracker.recordCrash({1, "t1", true}, Start);
+  Tracker.recordCrash({1, "t2", true}, Start);
+  for (fingerprint Other = 2; Other < 10000; ++Other)
+    Tracker.recordCrash({Other, "t1", false}, Start);
+  BOOST_TEST((Tracker.verdict(1, Start) == poison_verdict::Held));
+  BOOST_TEST(Tracker.reports(100000, Start).size() <= 4097U);
+}
--- a/src/admission/types/crashreport.h
+++ b/src/admission/types/crashreport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "global/types/time.h"
 #include "world/types/ids.h"
 
 namespace tarragon::admission {
@@ -8,6 +9,8 @@
 struct crash_report {
   fingerprint Fingerprint = 0;
   target_id Target;
+  bool Apart = true;   ///< whether it ran as a suspect (subrequest::Suspect)
+  milliseconds Age{0}; ///< how long ago it was seen first; told by a peer
 
   auto operator==(const crash_report &) const -> bool = default;
 };
