--- /dev/null
+++ b/src/membership/internal/memberbook.cpp
@@ -0,0 +1,197 @@
+#include "membership/internal/memberbook.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace tarragon::membership {
+
+namespace {
+
+auto gravity(const instance_state State) -> int {
+  switch (State) {
+  case instance_state::Live:
+  case instance_state::Leaving:
+    return 0;
+  case instance_state::Suspect:
+    return 1;
+  case instance_state::Dead:
+    return 2;
+  }
+  return 0;
+}
+
+auto stored(const instance_state State) -> instance_state {
+  return State == instance_state::Leaving ? instance_state::Live : State;
+}
+
+auto leaves(const member_update &Update) -> bool {
+  return Update.Leaving || Update.Instance.State == instance_state::Leaving;
+}
+
+/// Whether the state told in \p Update replaces that of \p Record, which is
+/// of the same life.
+auto replacesState(const member_update &Update, const member_record &Record)
+    -> bool {
+  return std::tuple(Update.Refutation, gravity(Update.Instance.State)) >
+         std::tuple(Record.Refutation, gravity(Record.Instance.State));
+}
+
+} // namespace
+
+auto member_book::take(const member_update &Update,
+                       const milliseconds Suspicion, const milliseconds Forget,
+                       const time_point Now) -> change {
+  const instance_id &Id = Update.Instance.Id;
+  const auto Found = Records.find(Id);
+  const bool Known = Found != Records.end();
+  if (!Known && Update.Instance.State == instance_state::Dead)
+    return change::None;
+  if (Known && Update.Instance.Incarnation < Found->second.Instance.Incarnation)
+    return change::None;
+  const bool NewLife = !Known || Update.Instance.Incarnation >
+                                     Found->second.Instance.Incarnation;
+  member_record &Record = Known ? Found->second : Records[Id];
+  if (!NewLife && !replacesState(Update, Record)) {
+    const bool NowLeaving = leaves(Update) && !Record.Leaving;
+    Record.Leaving = Record.Leaving || NowLeaving;
+    return NowLeaving ? change::Changed : change::None;
+  }
+  const bool StayedLeaving = !NewLife && Record.Leaving;
+  if (NewLife) {
+    setDeadline(Id, Record, std::nullopt);
+    Record = {};
+  }
+  Record.Instance = Update.Instance;
+  Record.Refutation = Update.Refutation;
+  Record.Leaving = StayedLeaving || leaves(Update);
+  setState(Record, stored(Update.Instance.State), Suspicion, Forget, Now);
+  return NewLife ? change::Learnt : change::Changed;
+}
+
+auto member_book::suspect(const instance_id &Id, const milliseconds Suspicion,
+                          const time_point Now) -> bool {
+  const auto Found = Records.find(Id);
+  if (Found == Records.end() ||
+      Found->second.Instance.State != instance_state::Live)
+    return false;
+  setState(Found->second, instance_state::Suspect, Suspicion, milliseconds{0},
+           Now);
+  return true;
+}
+
+auto member_book::expire(const milliseconds Forget, const time_point Now)
+    -> std::vector<instance_id> {
+  const milliseconds Again = std::max(Forget, milliseconds{1});
+  std::vector<instance_id> Died;
+  while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
+    const instance_id Id = Deadlines.begin()->second;
+    member_record &Record = Records[Id];
+    if (Record.alive())
+      Died.push_back(Id);
+    if (Record.alive() || Listed.contains(Id)) {
+      setState(Record, instance_state::Dead, milliseconds{0}, Again, Now);
+      continue;
+    }
+    setDeadline(Id, Record, std::nullopt);
+    Records.erase(Id);
+    sortIn(Id);
+  }
+  return Died;
+}
+
+auto member_book::restartSuspicions(const milliseconds Suspicion,
+                                    const time_point Now) -> void {
+  for (auto &[Id, Record] : Records)
+    if (Record.Instance.State == instance_state::Suspect)
+      setDeadline(Id, Record, Now + Suspicion);
+}
+
+auto member_book::setConfig(const instance_id &Id, const config_version Version)
+    -> void {
+  const auto Found = Records.find(Id);
+  if (Found != Records.end())
+    Found->second.Config = Version;
+}
+
+auto member_book::setListed(const std::vector<instance> &List,
+                            const instance_id &Self) -> void {
+  const auto Before = std::move(Listed);
+  Listed.clear();
+  for (const instance &Instance : List)
+    if (Instance.Id != Self && !Instance.Id.empty())
+      Listed.insert_or_assign(Instance.Id, Instance);
+  for (const auto &[Id, Instance] : Before)
+    sortIn(Id);
+  for (const auto &[Id, Instance] : Listed)
+    sortIn(Id);
+}
+
+auto member_book::find(const instance_id &Id) const -> const member_record * {
+  const auto Found = Records.find(Id);
+  return Found == Records.end() ? nullptr : &Found->second;
+}
+
+auto member_book::nextDeadline() const -> std::optional<time_point> {
+  if (Deadlines.empty())
+    return std::nullopt;
+  return Deadlines.begin()->first;
+}
+
+auto member_book::contactAfter(const instance_id &Last) const
+    -> std::vector<instance> {
+  if (Contacts.empty())
+    return {};
+  auto Next = Contacts.upper_bound(Last);
+  if (Next == Contacts.end())
+    Next = Contacts.begin();
+  std::vector<instance> Known;
+  if (const member_record *Record = find(*Next))
+    Known.push_back(Record->Instance);
+  const auto Entry = Listed.find(*Next);
+  if (Entry != Listed.end() &&
+      (Known.empty() || Known[0].PeerAddress != Entry->second.PeerAddress))
+    Known.push_back(Entry->second);
+  return Known;
+}
+
+auto member_book::setDeadline(const instance_id &Id, member_record &Record,
+                              const std::optional<time_point> Deadline)
+    -> void {
+  if (Record.Deadline)
+    Deadlines.erase({*Record.Deadline, Id});
+  Record.Deadline = Deadline;
+  if (Deadline)
+    Deadlines.emplace(*Deadline, Id);
+}
+
+auto member_book::setState(member_record &Record, const instance_state State,
+                           const milliseconds Suspicion,
+                           const milliseconds Forget, const time_point Now)
+    -> void {
+  const instance_id Id = Record.Instance.Id;
+  Record.Instance.State = State;
+  switch (State) {
+  case instance_state::Live:
+  case instance_state::Leaving:
+    setDeadline(Id, Record, std::nullopt);
+    break;
+  case instance_state::Suspect:
+    setDeadline(Id, Record, Now + Suspicion);
+    break;
+  case instance_state::Dead:
+    setDeadline(Id, Record, Now + Forget);
+    break;
+  }
+  sortIn(Id);
+}
+
+auto member_book::sortIn(const instance_id &Id) -> void {
+  const member_record *Record = find(Id);
+  const bool Unheard = Record == nullptr && Listed.contains(Id);
+  if (Unheard || (Record != nullptr && !Record->alive()))
+    Contacts.insert(Id);
+  else
+    Contacts.erase(Id);
+}
+
+} // namespace tarragon::membership
--- /dev/null
+++ b/src/membership/internal/memberrecord.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "global/types/time.h"
+#include "membership/types/memberupdate.h"
+
+#include <optional>
+
+namespace tarragon::membership {
+
+/// What is known of one other instance.
+struct member_record {
+  instance Instance; ///< its State is Live, Suspect or Dead only
+  std::uint64_t Refutation = 0;
+  bool Leaving = false;
+  config_version Config = 0; ///< as it told itself; 0 when it never did
+  std::optional<time_point> Deadline; ///< Suspect: of dying; Dead: of removal
+
+  auto alive() const -> bool { return Instance.State != instance_state::Dead; }
+
+  auto update() const -> member_update {
+    return {visible(), Refutation, Leaving};
+  }
+
+  /// The instance with the state that the rest of the program sees.
+  auto visible() const -> instance {
+    instance Seen = Instance;
+    if (Leaving && alive())
+      Seen.State = instance_state::Leaving;
+    return Seen;
+  }
+};
+
+} // namespace tarragon::membership
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -1,10 +1,17 @@
 #pragma once
 
+#include "membership/internal/memberbook.h"
+#include "membership/internal/proberound.h"
+#include "membership/internal/updatequeue.h"
 #include "membership/types/gossipmessage.h"
 #include "membership/types/membershipsettings.h"
 #include "world/types/instance.h"
 
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <random>
+#include <utility>
 #include <vector>
 
 namespace tarragon::membership {
@@ -39,6 +46,74 @@
 
   /// Whether any other instance answered within the suspicion time.
   auto reachesPeers(time_point Now) const -> bool;
+
+  /// Whether a peer knows a later life of this instance's id.
+  auto replaced() const -> bool { return Replaced; }
+
+private:
+  struct probe {
+    instance_id Target;
+    time_point Deadline;
+    bool Contact = false;  ///< not a live member: silence proves nothing
+    bool Indirect = false; ///< others were asked already
+  };
+
+  /// A probe made for another instance that got no answer itself.
+  struct relay {
+    instance Requester;
+    std::uint64_t Sequence = 0;
+    instance_id About;
+    time_point Deadline;
+  };
+
+  using messages = std::vector<outgoing_gossip>;
+
+  auto self() const -> instance;
+  auto ownUpdate() const -> member_update;
+  auto compose(gossip_kind Kind, std::uint64_t Sequence, const instance &To)
+      -> gossip_message;
+  auto addAccusation(const instance &To, std::vector<member_update> &Updates)
+      -> void;
+  auto addTableRows(std::size_t Rows, std::vector<member_update> &Updates)
+      -> void;
+
+  auto take(const member_update &Update, time_point Now) -> void;
+  auto takeOwn(const member_update &Update) -> void;
+  auto onPing(const gossip_message &Message, bool Newcomer, messages &Out)
+      -> void;
+  auto onAck(const gossip_message &Message, time_point Now, messages &Out)
+      -> void;
+  auto onPingRequest(const gossip_message &Message, time_point Now,
+                     messages &Out) -> void;
+
+  auto forgiveAfterPause(time_point Now) -> void;
+  auto runProbeDeadlines(time_point Now, messages &Out) -> void;
+  auto startProbes(time_point Now, messages &Out) -> void;
+  auto ping(const instance &To, bool Contact, time_point Now, messages &Out)
+      -> void;
+  auto askOthers(std::uint64_t Sequence, const instance_id &About,
+                 messages &Out) -> void;
+  auto probeContact(time_point Now, messages &Out) -> void;
+  auto suspect(const instance_id &Id, time_point Now, messages &Out) -> void;
+  auto suspicionTime() const -> milliseconds;
+
+  instance Self;
+  std::uint64_t Refutation = 0;
+  bool Leaving = false;
+  bool Replaced = false;
+  config_version Config = 0;
+  membership_settings Settings;
+  std::mt19937_64 Random;
+  member_book Book;
+  probe_round Round;
+  update_queue Queue;
+  std::map<std::uint64_t, probe> Probes; ///< by sequence
+  std::map<std::uint64_t, relay> Relays; ///< by sequence
+  std::uint64_t NextSequence = 1;
+  instance_id LastRow;     ///< the last table row sent along without news
+  instance_id LastContact; ///< the last contact probed
+  time_point NextPeriod;
+  std::optional<time_point> LastAnswer;
 };
 
 } // namespace tarragon::membership
--- a/src/membership/types/gossipmessage.h
+++ b/src/membership/types/gossipmessage.h
@@ -12,9 +12,10 @@
 struct gossip_message {
   gossip_kind Kind = gossip_kind::Ping;
   std::uint64_t Sequence = 0;
-  instance From;
-  instance_id About;         ///< PingRequest and its Ack: who is probed
-  config_version Config = 0; ///< in force at the sender
+  instance From;                ///< its State is Live or Leaving
+  std::uint64_t Refutation = 0; ///< of the sender; see member_update
+  instance_id About;            ///< PingRequest and its Ack: who is probed
+  config_version Config = 0;    ///< in force at the sender
   std::vector<member_update> Updates;
 };
 
