Serve scatter, merge and ticket decisions

Cause: the daemon needs the root of a query, the version table and the ledger behind their headers. A sealed ledger now carries the fingerprint of each ticket and the lowest number it remembers: an adopter could otherwise replay one request's answer to another, and call a forgotten ticket not run.

--- /dev/null
+++ b/src/once/ticketledger.cpp
@@ -0,0 +1,220 @@
+#include "once/ticketledger.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace tarragon::once {
+
+namespace {
+
+/// Tickets issued and not yet forgotten by one life.
+constexpr std::size_t MostRemembered = std::size_t{1} << 20U;
+
+/// Adopted ledgers kept at once.
+constexpr std::size_t MostAdopted = 16;
+
+/// A lifetime holds so many distinct times of issue.
+constexpr int StampsPerLifetime = 256;
+
+/// A ticket is remembered for so many lifetimes.
+constexpr int RememberedLifetimes = 2;
+
+auto refusal(const result_code Code, std::string Detail) -> replay_answer {
+  query_answer Answer;
+  Answer.Code = Code;
+  Answer.Detail = std::move(Detail);
+  return {std::move(Answer)};
+}
+
+auto forgotten() -> replay_answer {
+  return refusal(result_code::OutcomeUnknown,
+                 "what became of the ticket is not known any more");
+}
+
+auto mismatch() -> replay_answer {
+  return refusal(result_code::TicketMismatch,
+                 "the ticket was used for another request");
+}
+
+} // namespace
+
+ticket_ledger::ticket_ledger(instance_id Instance,
+                             const incarnation Incarnation,
+                             const time_point Started,
+                             const milliseconds TicketLifetime)
+    : Instance(std::move(Instance)), Incarnation(Incarnation), Started(Started),
+      TicketLifetime(TicketLifetime) {}
+
+auto ticket_ledger::sinceStart(const time_point Now) const -> milliseconds {
+  return std::chrono::duration_cast<milliseconds>(Now - Started);
+}
+
+/// Rounded down, so that few batches hold all tickets of a lifetime.
+auto ticket_ledger::stamp(const time_point Now) const -> milliseconds {
+  const milliseconds Step =
+      std::max(milliseconds{1}, TicketLifetime / StampsPerLifetime);
+  return sinceStart(Now) / Step * Step;
+}
+
+auto ticket_ledger::issue(const std::size_t Count, const time_point Now)
+    -> std::vector<ticket> {
+  std::vector<ticket> Tickets;
+  if (Sealed)
+    return Tickets;
+  milliseconds Issued = stamp(Now);
+  if (!Batches.empty())
+    Issued = std::max(Issued, Batches.back().Issued);
+  const std::size_t Remembered =
+      static_cast<std::size_t>(LastNumber + 1 - FirstKept);
+  const std::size_t Given = std::min(Count, MostRemembered - Remembered);
+  if (Given > 0 && (Batches.empty() || Batches.back().Issued != Issued))
+    Batches.push_back({LastNumber + 1, Issued});
+  for (std::size_t Index = 0; Index < Given; ++Index)
+    Tickets.push_back({Instance, Incarnation, Issued, ++LastNumber});
+  return Tickets;
+}
+
+auto ticket_ledger::wasIssued(const ticket &Ticket) const -> bool {
+  const auto Behind = std::upper_bound(
+      Batches.begin(), Batches.end(), Ticket.Number,
+      [](const std::uint64_t Number, const issue_batch &Batch) {
+        return Number < Batch.First;
+      });
+  return Behind != Batches.begin() &&
+         std::prev(Behind)->Issued == Ticket.IssuedAfterStart;
+}
+
+auto ticket_ledger::begin(const ticket &Ticket, const fingerprint Fingerprint,
+                          const time_point Now) -> ledger_verdict {
+  if (Ticket.Instance == Instance && Ticket.Incarnation == Incarnation)
+    return beginOwn(Ticket, Fingerprint, Now);
+
+  const auto Ledger = Adopted.find({Ticket.Instance, Ticket.Incarnation});
+  if (Ledger == Adopted.end()) {
+    if (Ticket.Instance == Instance && Ticket.Incarnation < Incarnation)
+      return forgotten();
+    return forward_to{Ticket.Instance, Ticket.Incarnation};
+  }
+  const auto Found = Ledger->second.Answers.find(Ticket.Number);
+  if (Found == Ledger->second.Answers.end()) {
+    if (Ticket.Number < Ledger->second.FirstKept)
+      return forgotten();
+    return refusal(result_code::NotRunTicketRetired,
+                   "the ticket's instance left without running it");
+  }
+  if (Found->second.Fingerprint != Fingerprint)
+    return mismatch();
+  return replay_answer{Found->second.Answer};
+}
+
+auto ticket_ledger::beginOwn(const ticket &Ticket,
+                             const fingerprint Fingerprint,
+                             const time_point Now) -> ledger_verdict {
+  if (Ticket.Number == 0 || Ticket.Number > LastNumber)
+    return refusal(result_code::MalformedTicket, "no such ticket was issued");
+  if (Ticket.Number < FirstKept)
+    return forgotten();
+  if (!wasIssued(Ticket))
+    return refusal(result_code::MalformedTicket, "no such ticket was issued");
+
+  const auto Found = Records.find(Ticket.Number);
+  if (Found == Records.end())
+    return beginNew(Ticket, Fingerprint, Now);
+  if (Found->second.Fingerprint != Fingerprint)
+    return mismatch();
+  if (Found->second.Running)
+    return await_answer{};
+  return replay_answer{Found->second.Answer};
+}
+
+auto ticket_ledger::beginNew(const ticket &Ticket,
+                             const fingerprint Fingerprint,
+                             const time_point Now) -> ledger_verdict {
+  if (Sealed)
+    return refusal(result_code::NotRunDraining, "the instance is leaving");
+  if (sinceStart(Now) > Ticket.IssuedAfterStart + TicketLifetime)
+    return refusal(result_code::NotRunTicketRetired,
+                   "the ticket expired before it was used");
+  Records.emplace(Ticket.Number, record{Ticket, Fingerprint, true, {}});
+  ++Running;
+  return run_now{};
+}
+
+auto ticket_ledger::finish(const ticket &Ticket, query_answer Answer,
+                           const time_point Now) -> void {
+  static_cast<void>(Now);
+  if (Ticket.Instance != Instance || Ticket.Incarnation != Incarnation)
+    return;
+  const auto Found = Records.find(Ticket.Number);
+  if (Found == Records.end() || !Found->second.Running)
+    return;
+  Found->second.Running = false;
+  Found->second.Answer = std::move(Answer);
+  --Running;
+}
+
+auto ticket_ledger::seal() -> void { Sealed = true; }
+
+auto ticket_ledger::settled() const -> bool { return Sealed && Running == 0; }
+
+auto ticket_ledger::sealedCopy() const -> sealed_ledger {
+  sealed_ledger Copy{Instance, Incarnation, FirstKept, {}};
+  if (!Sealed) {
+    Copy.FirstKept = std::numeric_limits<std::uint64_t>::max();
+    return Copy;
+  }
+  for (const auto &[Number, Record] : Records) {
+    const query_answer &Answer =
+        Record.Running ? forgotten().Answer : Record.Answer;
+    Copy.Answers.push_back({Record.Ticket, Record.Fingerprint, Answer});
+  }
+  return Copy;
+}
+
+auto ticket_ledger::adopt(sealed_ledger Ledger, const time_point Now) -> void {
+  if (Ledger.Instance == Instance && Ledger.Incarnation == Incarnation)
+    return;
+  adopted_ledger Taken{Ledger.FirstKept, {}, Now};
+  for (recorded_answer &Answer : Ledger.Answers) {
+    const std::uint64_t Number = Answer.Ticket.Number;
+    Taken.Answers.emplace(Number, std::move(Answer));
+  }
+  Adopted[{Ledger.Instance, Ledger.Incarnation}] = std::move(Taken);
+  if (Adopted.size() > MostAdopted)
+    dropOldestAdopted();
+}
+
+auto ticket_ledger::dropOldestAdopted() -> void {
+  const auto Oldest = std::min_element(
+      Adopted.begin(), Adopted.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.At < Right.second.At;
+      });
+  Adopted.erase(Oldest);
+}
+
+auto ticket_ledger::expire(const time_point Now) -> void {
+  const milliseconds Kept = TicketLifetime * RememberedLifetimes;
+  while (!Batches.empty() && Batches.front().Issued + Kept < sinceStart(Now)) {
+    Batches.pop_front();
+    FirstKept = Batches.empty() ? LastNumber + 1 : Batches.front().First;
+  }
+  for (auto At = Records.begin();
+       At != Records.end() && At->first < FirstKept;) {
+    if (At->second.Running)
+      --Running;
+    At = Records.erase(At);
+  }
+  std::erase_if(Adopted, [Now, Kept](const auto &Life) {
+    return Life.second.At + Kept < Now;
+  });
+}
+
+auto ticket_ledger::size() const -> std::size_t {
+  std::size_t Count = Records.size();
+  for (const auto &[Life, Ledger] : Adopted)
+    Count += Ledger.Answers.size();
+  return Count;
+}
+
+} // namespace tarragon::once
--- /dev/null
+++ b/src/once/types/recordedanswer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "once/types/ticket.h"
+#include "world/types/queryanswer.h"
+
+namespace tarragon::once {
+
+/// What became of one ticket, and for which request it was used.
+struct recorded_answer {
+  ticket Ticket;
+  fingerprint Fingerprint = 0;
+  query_answer Answer;
+
+  auto operator==(const recorded_answer &) const -> bool = default;
+};
+
+} // namespace tarragon::once
--- a/src/once/types/sealedledger.h
+++ b/src/once/types/sealedledger.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "once/types/ticket.h"
-#include "world/types/queryanswer.h"
+#include "once/types/recordedanswer.h"
 
-#include <utility>
 #include <vector>
 
 namespace tarragon::once {
@@ -12,7 +10,8 @@
 struct sealed_ledger {
   instance_id Instance;
   incarnation Incarnation = 0;
-  std::vector<std::pair<ticket, query_answer>> Answers;
+  std::uint64_t FirstKept = 0; ///< what lower ticket numbers did is forgotten
+  std::vector<recorded_answer> Answers;
 };
 
 } // namespace tarragon::once
--- /dev/null
+++ b/src/query/internal/querypart.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "world/types/settlement.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace tarragon::query {
+
+enum class part_state { Pending, Answered, Failed };
+
+/// One shard of a query's snapshot and what became of it.
+struct query_part {
+  service_id Service;
+  group_id Group;
+  std::size_t Shard = 0;
+  std::size_t ShardCount = 0;
+  std::uint32_t Try = 0;
+  part_state State = part_state::Pending;
+  attempt_outcome Reason = attempt_outcome::Expired; ///< of a failed part
+  bool MayHaveRun = false; ///< some settled try was not proven not run
+  bool AskedAfterCrash = false;
+  bool AskedAfterLoss = false;
+  std::vector<item> Items;
+};
+
+} // namespace tarragon::query
--- /dev/null
+++ b/src/query/scatterquery.cpp
@@ -0,0 +1,379 @@
+#include "query/scatterquery.h"
+
+#include "global/hash.h"
+#include "query/internal/answercode.h"
+#include "query/internal/answermerge.h"
+#include "query/internal/coveragecount.h"
+#include "query/versiontable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragon::query {
+
+namespace {
+
+/// What a subrequest leaves of the query's deadline for its way back.
+constexpr milliseconds MostReturnMargin{5};
+constexpr int ReturnMarginShare = 20;
+
+/// A second crashed target makes the request itself the likely cause.
+constexpr std::size_t MostCrashedToAskAgain = 1;
+
+auto returnMargin(const milliseconds Deadline) -> milliseconds {
+  return std::min(MostReturnMargin, Deadline / ReturnMarginShare);
+}
+
+auto hasBadScore(const std::vector<item> &Items) -> bool {
+  return std::any_of(Items.begin(), Items.end(),
+                     [](const item &Item) { return std::isnan(Item.Score); });
+}
+
+/// The outcome, or Corrupt for an answer that isn't the one asked for.
+auto checkedOutcome(const settlement &Settlement, const query_part &Part,
+                    const index_version Version) -> attempt_outcome {
+  if (Settlement.Outcome != attempt_outcome::Answered)
+    return Settlement.Outcome;
+  const bool Matches = Settlement.Version == Version &&
+                       Settlement.Shard == Part.Shard &&
+                       Settlement.ShardCount == Part.ShardCount;
+  if (!Matches || hasBadScore(Settlement.Items))
+    return attempt_outcome::Corrupt;
+  return attempt_outcome::Answered;
+}
+
+/// The settlement's word that nothing ran, unless its outcome belies it.
+auto provenNotRun(const settlement &Settlement) -> bool {
+  switch (Settlement.Outcome) {
+  case attempt_outcome::Answered:
+  case attempt_outcome::Crashed:
+  case attempt_outcome::Corrupt:
+  case attempt_outcome::Refused:
+    return false;
+  case attempt_outcome::WrongVersion:
+  case attempt_outcome::Shed:
+  case attempt_outcome::NotSent:
+  case attempt_outcome::Leaving:
+  case attempt_outcome::Expired:
+  case attempt_outcome::NotRun:
+    return Settlement.ProvenNotRun;
+  }
+  return false;
+}
+
+} // namespace
+
+scatter_query::scatter_query(const std::uint64_t Number, instance_id Root,
+                             query_request Request,
+                             std::shared_ptr<const deployment> Deployment,
+                             const fingerprint Fingerprint, const bool Suspect)
+    : Number(Number), Root(std::move(Root)), Request(std::move(Request)),
+      Deployment(std::move(Deployment)),
+      Contract(this->Deployment->findContract(this->Request.Contract)),
+      Fingerprint(Fingerprint), Suspect(Suspect) {}
+
+auto scatter_query::start(const version_table &Versions, const time_point Now)
+    -> query_actions {
+  if (Started || Finished)
+    return {};
+  Started = true;
+  if (Contract == nullptr)
+    return refuse(result_code::UnknownContract, "no such contract");
+  if (Contract->Merge == merge_kind::ByKey && Request.Key.empty())
+    return refuse(result_code::MalformedRequest, "the contract needs a key");
+  Deadline = Now + Contract->Deadline;
+  SendBefore = Deadline - returnMargin(Contract->Deadline);
+  EarlyAt = Now + Contract->EarlyAfter;
+  if (Request.Continuation)
+    return continueAt(Versions, Now);
+
+  auto Pinned = Versions.pin(*Deployment, *Contract);
+  if (!Pinned)
+    return refuse(result_code::NoCommonSnapshot,
+                  "no index version can be served by every shard");
+  return beginAt(std::move(*Pinned));
+}
+
+auto scatter_query::continueAt(const version_table &Versions,
+                               const time_point Now) -> query_actions {
+  static_cast<void>(Now);
+  Token = parseToken(*Request.Continuation, *Contract, Request);
+  if (!Token)
+    return refuse(result_code::MalformedToken, "the token isn't of this query");
+  const index_version Version = Token->Snapshot.Version;
+  const auto Present = Versions.find(*Deployment, *Contract, Version);
+  const bool Changed = Present && *Present != Token->Snapshot;
+  if (Changed || Versions.gone(*Deployment, *Contract, Version))
+    return refuse(result_code::SnapshotGone, "the token's snapshot is gone");
+  return beginAt(Token->Snapshot);
+}
+
+auto scatter_query::beginAt(pinned_snapshot Pinned) -> query_actions {
+  std::uint32_t FirstTry = 0;
+  for (const query_part &Part : Parts)
+    FirstTry = std::max(FirstTry, Part.Try + 1);
+  Snapshot = std::move(Pinned);
+  if (!buildParts(FirstTry))
+    return refuse(result_code::NoCommonSnapshot, "a service isn't deployed");
+  query_actions Actions;
+  for (std::uint32_t Index = 0; Index < Parts.size(); ++Index)
+    Actions.emplace_back(send(Index));
+  return Actions;
+}
+
+auto scatter_query::buildParts(const std::uint32_t FirstTry) -> bool {
+  Parts.clear();
+  for (const service_id &Id : Contract->Services) {
+    const service *const Service = Deployment->findService(Id);
+    if (Service == nullptr || Service->Groups.empty())
+      return false;
+    addServiceParts(*Service, FirstTry);
+  }
+  return !Parts.empty();
+}
+
+auto scatter_query::addServiceParts(const service &Service,
+                                    const std::uint32_t FirstTry) -> void {
+  const std::size_t Count = Snapshot.ShardCounts.at(Service.Id);
+  std::size_t First = 0;
+  std::size_t Last = Count;
+  if (Contract->Merge == merge_kind::ByKey) {
+    First = static_cast<std::size_t>(hash64(Request.Key) % Count);
+    Last = First + 1;
+  }
+  for (std::size_t Shard = First; Shard < Last; ++Shard) {
+    query_part Part;
+    Part.Service = Service.Id;
+    Part.Group = Service.groupOf(Shard).Id;
+    Part.Shard = Shard;
+    Part.ShardCount = Count;
+    Part.Try = FirstTry;
+    Parts.push_back(std::move(Part));
+  }
+}
+
+auto scatter_query::pageEnd() const -> std::size_t {
+  if (Contract->Limit == 0)
+    return 0;
+  return (Token ? Token->Offset : 0) + Contract->Limit;
+}
+
+auto scatter_query::send(const std::uint32_t Index) const -> send_subrequest {
+  const query_part &Part = Parts[Index];
+  subrequest Sub;
+  Sub.Id = {Number, Index, Part.Try};
+  Sub.Root = Root;
+  Sub.Contract = Contract->Id;
+  Sub.Service = Part.Service;
+  Sub.Group = Part.Group;
+  Sub.Version = Snapshot.Version;
+  Sub.Shard = Part.Shard;
+  Sub.ShardCount = Part.ShardCount;
+  Sub.Limit = pageEnd();
+  Sub.Body = Request.Body;
+  Sub.Fingerprint = Fingerprint;
+  Sub.Deadline = SendBefore;
+  Sub.Repeatable = Contract->Repeatable;
+  Sub.Suspect = Suspect || !CrashedTargets.empty();
+  Sub.HedgeBudget = Contract->HedgeBudget;
+  return {std::move(Sub)};
+}
+
+auto scatter_query::currentPart(const subrequest_id &Id) -> query_part * {
+  if (Id.Query != Number || Id.Part >= Parts.size())
+    return nullptr;
+  query_part &Part = Parts[Id.Part];
+  if (Id.Try != Part.Try || Part.State != part_state::Pending)
+    return nullptr;
+  return &Part;
+}
+
+auto scatter_query::onSettlement(const settlement &Settlement,
+                                 const version_table &Versions,
+                                 const time_point Now) -> query_actions {
+  if (!Started || Finished)
+    return {};
+  query_part *const Part = currentPart(Settlement.Id);
+  if (Part == nullptr)
+    return {};
+  Attempts += Settlement.Attempts;
+  const attempt_outcome Outcome =
+      checkedOutcome(Settlement, *Part, Snapshot.Version);
+  if (Outcome == attempt_outcome::Answered) {
+    Part->State = part_state::Answered;
+    Part->Items = Settlement.Items;
+    return finishIfDue(Now);
+  }
+  recordFailure(*Part, Settlement, Outcome);
+  if (mayAskAgain(*Part, Settlement, Now)) {
+    Part->State = part_state::Pending;
+    ++Part->Try;
+    return {send(Settlement.Id.Part)};
+  }
+  if (auto Actions = restart(Versions, Now))
+    return std::move(*Actions);
+  return finishIfDue(Now);
+}
+
+auto scatter_query::recordFailure(query_part &Part,
+                                  const settlement &Settlement,
+                                  const attempt_outcome Outcome) -> void {
+  Part.State = part_state::Failed;
+  Part.Reason = Outcome;
+  Part.MayHaveRun = Part.MayHaveRun || !provenNotRun(Settlement);
+  CrashedTargets.insert(Settlement.CrashedTargets.begin(),
+                        Settlement.CrashedTargets.end());
+  if (Outcome == attempt_outcome::Crashed)
+    CrashedTargets.insert(Settlement.Target);
+}
+
+auto scatter_query::mayAskAgain(query_part &Part, const settlement &Settlement,
+                                const time_point Now) -> bool {
+  if (Now >= SendBefore || (!Contract->Repeatable && Part.MayHaveRun))
+    return false;
+  if (Part.Reason == attempt_outcome::Crashed) {
+    if (Part.AskedAfterCrash || CrashedTargets.size() > MostCrashedToAskAgain)
+      return false;
+    Part.AskedAfterCrash = true;
+    return true;
+  }
+  // No target named: the dispatcher's instance was lost, not a target.
+  const bool OwnerLost =
+      Part.Reason == attempt_outcome::NotSent && Settlement.Target.empty();
+  if (!OwnerLost || Part.AskedAfterLoss)
+    return false;
+  Part.AskedAfterLoss = true;
+  return true;
+}
+
+auto scatter_query::restartDue() const -> bool {
+  const bool AnyWrong =
+      std::any_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
+        return Part.State == part_state::Failed &&
+               Part.Reason == attempt_outcome::WrongVersion;
+      });
+  if (!AnyWrong)
+    return false;
+  const bool Probing = Snapshot.Version == 0;
+  if (Probing && anyPending())
+    return false;
+  if (Contract->Repeatable)
+    return true;
+  return std::all_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
+    return Part.State == part_state::Failed && !Part.MayHaveRun;
+  });
+}
+
+auto scatter_query::otherSnapshot(const version_table &Versions) const
+    -> std::optional<pinned_snapshot> {
+  auto Newest = Versions.pin(*Deployment, *Contract);
+  if (Newest && *Newest != Snapshot && Newest->Version != 0)
+    return Newest;
+  return Versions.pin(*Deployment, *Contract, Snapshot.Version);
+}
+
+auto scatter_query::restart(const version_table &Versions, const time_point Now)
+    -> std::optional<query_actions> {
+  const bool Probing = Snapshot.Version == 0;
+  if (Token || Now >= SendBefore || (RestartsLeft == 0 && !Probing) ||
+      !restartDue())
+    return std::nullopt;
+  auto Other = otherSnapshot(Versions);
+  if (!Other)
+    return std::nullopt;
+  if (!Probing)
+    --RestartsLeft;
+  for (const query_part &Part : Parts)
+    EarlierMayHaveRun = EarlierMayHaveRun || Part.MayHaveRun ||
+                        Part.State != part_state::Failed;
+  query_actions Actions = cancelPending();
+  query_actions Sends = beginAt(std::move(*Other));
+  Actions.insert(Actions.end(), std::make_move_iterator(Sends.begin()),
+                 std::make_move_iterator(Sends.end()));
+  return Actions;
+}
+
+auto scatter_query::onTimer(const time_point Now) -> query_actions {
+  if (!Started || Finished)
+    return {};
+  return finishIfDue(Now);
+}
+
+auto scatter_query::nextWake() const -> std::optional<time_point> {
+  if (!Started || Finished)
+    return std::nullopt;
+  if (!EarlyPassed && enoughForEarly())
+    return std::min(EarlyAt, Deadline);
+  return Deadline;
+}
+
+auto scatter_query::anyPending() const -> bool {
+  return std::any_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
+    return Part.State == part_state::Pending;
+  });
+}
+
+auto scatter_query::enoughForEarly() const -> bool {
+  if (Contract->Wait != wait_policy::AnswerEarly || !Contract->Repeatable)
+    return false;
+  const coverage Coverage = countCoverage(Parts);
+  return Coverage.Answered > 0 &&
+         Coverage.share() >= Contract->WantedCoverage &&
+         Coverage.share() >= Contract->LeastCoverage;
+}
+
+auto scatter_query::finishIfDue(const time_point Now) -> query_actions {
+  EarlyPassed = EarlyPassed || Now >= EarlyAt;
+  if (!anyPending() || Now >= Deadline || (EarlyPassed && enoughForEarly()))
+    return finish();
+  return {};
+}
+
+auto scatter_query::cancelPending() const -> query_actions {
+  query_actions Actions;
+  for (std::uint32_t Index = 0; Index < Parts.size(); ++Index)
+    if (Parts[Index].State == part_state::Pending)
+      Actions.emplace_back(cancel_subrequest{{Number, Index, Parts[Index].Try},
+                                             Parts[Index].Group});
+  return Actions;
+}
+
+auto scatter_query::finish() -> query_actions {
+  Finished = true;
+  query_actions Actions = cancelPending();
+  query_answer Answer;
+  Answer.RequestId = Request.RequestId;
+  Answer.Version = Snapshot.Version;
+  Answer.Attempts = Attempts;
+  Answer.Coverage = countCoverage(Parts);
+  answer_code Decided =
+      decideCode(*Contract, Parts, Answer.Coverage, EarlierMayHaveRun);
+  Answer.Code = Decided.Code;
+  Answer.Detail = std::move(Decided.Detail);
+  if (Answer.Code == result_code::Ok || Answer.Code == result_code::Partial)
+    addPage(Answer);
+  Actions.emplace_back(finish_query{std::move(Answer)});
+  return Actions;
+}
+
+auto scatter_query::addPage(query_answer &Answer) -> void {
+  const std::size_t Offset = Token ? Token->Offset : 0;
+  merged_page Page = mergePage(Contract->Merge, Parts, Offset, Contract->Limit);
+  Answer.Items = std::move(Page.Items);
+  const std::size_t Next = Offset + Contract->Limit;
+  if (Page.More && Contract->Repeatable && Next <= MostOffset)
+    Answer.Continuation = formatToken({Snapshot, Next}, *Contract, Request);
+}
+
+auto scatter_query::refuse(const result_code Code, std::string Detail)
+    -> query_actions {
+  Finished = true;
+  query_answer Answer;
+  Answer.RequestId = Request.RequestId;
+  Answer.Code = Code;
+  Answer.Detail = std::move(Detail);
+  Answer.Attempts = Attempts;
+  return {finish_query{std::move(Answer)}};
+}
+
+} // namespace tarragon::query
--- a/src/query/scatterquery.h
+++ b/src/query/scatterquery.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "query/internal/continuationtoken.h"
+#include "query/internal/querypart.h"
 #include "query/types/queryaction.h"
 #include "world/types/deployment.h"
 #include "world/types/queryrequest.h"
@@ -7,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace tarragon::query {
 
@@ -34,7 +37,55 @@
   /// When onTimer() is due; nothing once finished.
   auto nextWake() const -> std::optional<time_point>;
 
-  auto finished() const -> bool;
+  auto finished() const -> bool { return Finished; }
+
+private:
+  auto beginAt(pinned_snapshot Pinned) -> query_actions;
+  auto buildParts(std::uint32_t FirstTry) -> bool;
+  auto addServiceParts(const service &Service, std::uint32_t FirstTry) -> void;
+  auto continueAt(const version_table &Versions, time_point Now)
+      -> query_actions;
+  auto send(std::uint32_t Index) const -> send_subrequest;
+  auto currentPart(const subrequest_id &Id) -> query_part *;
+  auto recordFailure(query_part &Part, const settlement &Settlement,
+                     attempt_outcome Outcome) -> void;
+  auto mayAskAgain(query_part &Part, const settlement &Settlement,
+                   time_point Now) -> bool;
+  auto restart(const version_table &Versions, time_point Now)
+      -> std::optional<query_actions>;
+  auto restartDue() const -> bool;
+  auto otherSnapshot(const version_table &Versions) const
+      -> std::optional<pinned_snapshot>;
+  auto anyPending() const -> bool;
+  auto enoughForEarly() const -> bool;
+  auto pageEnd() const -> std::size_t;
+  auto cancelPending() const -> query_actions;
+  auto finishIfDue(time_point Now) -> query_actions;
+  auto finish() -> query_actions;
+  auto refuse(result_code Code, std::string Detail) -> query_actions;
+  auto addPage(query_answer &Answer) -> void;
+
+  std::uint64_t Number;
+  instance_id Root;
+  query_request Request;
+  std::shared_ptr<const deployment> Deployment;
+  const contract *Contract; ///< into Deployment; null when unknown
+  fingerprint Fingerprint;
+  bool Suspect;
+
+  time_point EarlyAt;
+  time_point SendBefore; ///< deadline of subrequests
+  time_point Deadline;
+  pinned_snapshot Snapshot;
+  std::optional<continuation_token> Token;
+  std::vector<query_part> Parts;
+  std::set<target_id> CrashedTargets;
+  std::uint32_t Attempts = 0;
+  int RestartsLeft = 1;
+  bool EarlierMayHaveRun = false; ///< a try at a snapshot given up
+  bool EarlyPassed = false;
+  bool Started = false;
+  bool Finished = false;
 };
 
 } // namespace tarragon::query
