--- /dev/null
+++ b/src/entry/configrunner.cpp
@@ -0,0 +1,196 @@
+#include "entry/configrunner.h"
+
+#include "config/configacceptance.h"
+#include "global/hash.h"
+#include "global/json.h"
+#include "global/log.h"
+#include "platform/backoff.h"
+
+#include <json/json.h>
+
+namespace tarragon::entry {
+
+namespace {
+
+constexpr char SnapshotPrefix[] = "snapshots/";
+constexpr milliseconds FirstRetry{50};
+constexpr milliseconds LongestRetry{1000};
+constexpr milliseconds ReachedFor{5000};
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+auto seedOf(const entry_settings &Settings) -> std::uint64_t {
+  return hash64(Settings.Self.Id, Settings.Self.Incarnation);
+}
+
+auto readSnapshot(const std::string &Text)
+    -> std::optional<query::pinned_snapshot> {
+  const auto Value = parseJson(Text);
+  if (!Value)
+    return std::nullopt;
+  try {
+    query::pinned_snapshot Snapshot;
+    Snapshot.Version = Value.value()["version"].asUInt64();
+    const Json::Value &Shards = Value.value()["shards"];
+    for (const std::string &Service : Shards.getMemberNames())
+      Snapshot.ShardCounts[Service] = Shards[Service].asUInt64();
+    return Snapshot;
+  } catch (const Json::Exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+config_runner::config_runner(const entry_settings &Settings, handlers Handlers)
+    : Settings(Settings), Handlers(std::move(Handlers)),
+      Platform(Settings.Platform, {}, seedOf(Settings)) {}
+
+config_runner::~config_runner() { stop(); }
+
+auto config_runner::start() -> void {
+  Watcher = std::thread([this] { watchHead(); });
+  Poller = std::thread([this] { pollLists(); });
+}
+
+auto config_runner::stop() -> void {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Stopped.notify_all();
+  if (Watcher.joinable())
+    Watcher.join();
+  if (Poller.joinable())
+    Poller.join();
+}
+
+auto config_runner::adopt(config::accepted_config Config) -> void {
+  config::accepted_config Now;
+  {
+    const std::lock_guard Lock(Mutex);
+    if (!Adoption.adopt(std::move(Config)))
+      return;
+    Now = Adoption.inForce();
+  }
+  log::write(
+      log::level::Info, log::part::Config, "configuration in force",
+      {{"version", std::to_string(Now.Version)}, {"operator", Now.Operator}});
+  Handlers.OnAdopted(Now);
+}
+
+auto config_runner::inForce() const -> config::accepted_config {
+  const std::lock_guard Lock(Mutex);
+  return Adoption.inForce();
+}
+
+auto config_runner::newest() const -> config::accepted_config {
+  const std::lock_guard Lock(Mutex);
+  return Adoption.newest();
+}
+
+auto config_runner::apply(const config::apply_request &Request)
+    -> config::apply_outcome {
+  config::acceptance_settings Acceptance;
+  Acceptance.Seed = hash64(Request.ChangeId, seedOf(Settings));
+  config::config_acceptance<platform::platform_client> Change(
+      Acceptance, [this](const milliseconds Wait) { pause(Wait); });
+  const auto Outcome = Change.apply(Platform, Request, inForce());
+  if (Outcome.State == config::apply_state::Accepted)
+    load();
+  return Outcome;
+}
+
+auto config_runner::reachesPlatform() const -> bool {
+  const time_point Reached{time_point::duration{LastReached.load()}};
+  return LastReached.load() != 0 && now() - Reached < ReachedFor;
+}
+
+auto config_runner::callCounts() const -> platform::call_counts {
+  return Platform.callCounts();
+}
+
+auto config_runner::watchHead() -> void {
+  platform::backoff Backoff(FirstRetry, LongestRetry, seedOf(Settings));
+  std::uint64_t Revision = 0;
+  bool Stale = true;
+  while (pause(milliseconds{0})) {
+    if (Stale && !load()) {
+      pause(Backoff.next());
+      continue;
+    }
+    Stale = false;
+    const auto Watched =
+        Platform.watch("config/head", Revision, Settings.WatchWait);
+    if (!Watched) {
+      pause(Backoff.next());
+      continue;
+    }
+    Backoff.reset();
+    markReached();
+    Revision = Watched.value().Revision;
+    Stale = !Watched.value().Changed.empty();
+  }
+}
+
+auto config_runner::load() -> bool {
+  config::config_acceptance<platform::platform_client> Reader(
+      {}, [this](const milliseconds Wait) { pause(Wait); });
+  auto Loaded = Reader.load(Platform);
+  if (Loaded) {
+    markReached();
+    adopt(std::move(Loaded.value()));
+    return true;
+  }
+  const bool NoneYet = Loaded.error().Code == result_code::ObjectMissing;
+  if (NoneYet)
+    markReached();
+  else
+    log::write(log::level::Warning, log::part::Platform,
+               "configuration not read", {{"reason", Loaded.error().Detail}});
+  return NoneYet;
+}
+
+auto config_runner::pollLists() -> void {
+  while (pause(milliseconds{0})) {
+    readLists();
+    readSnapshots();
+    pause(Settings.ListPeriod);
+  }
+}
+
+auto config_runner::readLists() -> void {
+  const auto Roster = Platform.instanceRoster();
+  if (!Roster)
+    return;
+  markReached();
+  Handlers.OnInstances(Roster.value().Instances);
+  std::set<target_id> Leaving;
+  for (const platform::target_state &Target : Roster.value().Targets)
+    if (Target.Leaving)
+      Leaving.insert(Target.Id);
+  Handlers.OnLeavingTargets(Leaving);
+}
+
+auto config_runner::readSnapshots() -> void {
+  const auto Objects = Platform.list(SnapshotPrefix);
+  if (!Objects)
+    return;
+  markReached();
+  for (const platform::stored_object &Object : Objects.value())
+    if (auto Snapshot = readSnapshot(Object.Value))
+      Handlers.OnSnapshot(Object.Key.substr(sizeof SnapshotPrefix - 1),
+                          std::move(*Snapshot));
+}
+
+auto config_runner::markReached() -> void {
+  LastReached = now().time_since_epoch().count();
+}
+
+auto config_runner::pause(const milliseconds Wait) -> bool {
+  std::unique_lock Lock(Mutex);
+  Stopped.wait_for(Lock, Wait, [this] { return Stopping; });
+  return !Stopping;
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/dispatchrunner.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "admission/groupdispatcher.h"
+#include "entry/targetlink.h"
+#include "world/types/deployment.h"
+#include "world/types/instance.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace tarragon::transport {
+class worker_pool;
+}
+
+namespace tarragon::entry {
+
+/// Runs the dispatchers of all replica groups: carries out their actions and
+/// wakes them in time.
+class dispatch_runner {
+public:
+  using settle_handler =
+      std::function<void(const instance_id &Root, settlement Settlement)>;
+
+  dispatch_runner(const instance &Self, transport::worker_pool &Pool,
+                  settle_handler OnSettled);
+  ~dispatch_runner();
+
+  /// Makes, changes and retires dispatchers after a change of configuration.
+  auto reconfigure(const deployment &Deployment) -> void;
+
+  /// Takes which groups this instance owns now.
+  auto setOwned(const std::set<group_id> &Owned) -> void;
+
+  /// Runs \p Request here; settled as NotRun when the group is unknown.
+  auto submit(subrequest Request) -> void;
+  auto cancel(const subrequest_id &Id, const instance_id &Root,
+              const group_id &Group) -> void;
+
+  /// Takes the platform's word on which targets leave.
+  auto setLeaving(const std::set<target_id> &Leaving) -> void;
+
+  /// Whether no dispatcher has work queued or in flight.
+  auto idle() const -> bool;
+  auto connectionsOpened() const -> std::uint64_t;
+
+private:
+  struct slot {
+    slot(const service &Service, const replica_group &Group,
+         const admission::dispatcher_settings &Settings)
+        : Dispatcher(Service, Group, Settings,
+                     admission::dispatcher_role::Guest) {}
+    std::mutex Mutex; // rank 60
+    admission::group_dispatcher Dispatcher;
+    time_point WakeAt = time_point::max(); ///< the earliest wake arranged
+  };
+  using slot_pointer = std::shared_ptr<slot>;
+
+  auto find(const group_id &Group) const -> slot_pointer;
+  auto perform(const slot_pointer &Slot, admission::dispatch_actions Actions)
+      -> void;
+  auto arrangeWake(const slot_pointer &Slot) -> void;
+  auto onWake(const slot_pointer &Slot) -> void;
+  auto startAttempt(const slot_pointer &Slot,
+                    const admission::start_attempt &Start) -> void;
+  template <class Event>
+  auto step(const slot_pointer &Slot, Event &&Apply) -> void;
+
+  instance Self;
+  transport::worker_pool &Pool;
+  settle_handler OnSettled;
+  mutable std::mutex Mutex; // rank 55: taken before a slot's, for the map only
+  std::map<group_id, slot_pointer> Slots;
+  std::set<group_id> Owned;
+  std::set<target_id> Leaving;
+  target_link Link;
+};
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/entry.cpp
@@ -0,0 +1,276 @@
+#include "entry/entry.h"
+
+#include "entry/answerjson.h"
+#include "global/hash.h"
+#include "global/log.h"
+#include "membership/addressranking.h"
+#include "membership/ownermap.h"
+
+namespace tarragon::entry {
+
+namespace {
+
+constexpr int ControlThreads = 2;
+constexpr milliseconds ForwardPatience{2000};
+constexpr milliseconds DefaultPoisonHold{600000};
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+auto fingerprintOf(const query_request &Request) -> fingerprint {
+  return hash64(Request.Contract + '\0' + Request.Key + '\0' + Request.Body);
+}
+
+auto refusal(const query_request &Request, const result_code Code,
+             std::string Detail) -> query_answer {
+  query_answer Answer;
+  Answer.RequestId = Request.RequestId;
+  Answer.Code = Code;
+  Answer.Detail = std::move(Detail);
+  return Answer;
+}
+
+} // namespace
+
+entry::entry(entry_settings Settings)
+    : Settings(std::move(Settings)), Poison(DefaultPoisonHold),
+      Pool(this->Settings.Workers), ControlPool(ControlThreads) {
+  makePeers();
+  makeQueries();
+  makeControl();
+}
+
+entry::~entry() { stop(); }
+
+auto entry::makePeers() -> void {
+  Peers = std::make_unique<peer::peer_link>(
+      Settings.Self,
+      peer::peer_link::handlers{
+          [this](instance From, peer::peer_message Message) {
+            Pool.post([this, From = std::move(From),
+                       Message = std::move(Message)]() mutable {
+              onPeerMessage(From, std::move(Message));
+            });
+          },
+          [this](instance Peer, const std::vector<peer::peer_message> &) {
+            Pool.post([this, Peer = std::move(Peer)] { onPeerLost(Peer); });
+          }});
+}
+
+auto entry::makeQueries() -> void {
+  Dispatch = std::make_unique<dispatch_runner>(
+      Settings.Self, Pool,
+      [this](const instance_id &Root, settlement Settlement) {
+        onSettled(Root, std::move(Settlement));
+      });
+  Router = std::make_unique<subrequest_router>(
+      Settings.Self.Id,
+      subrequest_router::handlers{
+          [this](subrequest Request) { Dispatch->submit(std::move(Request)); },
+          [this](const query::cancel_subrequest &Cancel) {
+            Dispatch->cancel(Cancel.Id, Settings.Self.Id, Cancel.Group);
+          },
+          [this](const instance &Owner, subrequest Request) {
+            Peers->send(Owner, peer::dispatch_message{std::move(Request)});
+          },
+          [this](const instance &Owner, const query::cancel_subrequest &C) {
+            Peers->send(Owner, peer::cancel_message{C.Id, C.Group});
+          }});
+  Queries = std::make_unique<query_runner>(
+      Settings.Self.Id, Pool,
+      query_runner::handlers{
+          [this](subrequest Request) { Router->send(std::move(Request)); },
+          [this](const query::cancel_subrequest &Cancel) {
+            Router->cancel(Cancel);
+          }});
+  Once = std::make_unique<once_runner>(
+      Settings,
+      [this](query_request Request, once_runner::completion Done) {
+        const fingerprint Fingerprint = fingerprintOf(Request);
+        runQuery(std::move(Request), Fingerprint, std::move(Done));
+      },
+      [this](const instance_id &Id) { return Members->find(Id); });
+}
+
+auto entry::makeControl() -> void {
+  Members = std::make_unique<membership_runner>(
+      Settings, Pool,
+      membership_runner::handlers{
+          [this](const instance &To, membership::gossip_message Message) {
+            Peers->send(To, std::move(Message));
+          },
+          [this](const std::vector<instance> &All) { onMembers(All); },
+          [this](const instance &Peer, config_version) {
+            Peers->send(Peer, peer::config_request{inForce().Version});
+          }});
+  Config = std::make_unique<config_runner>(
+      Settings,
+      config_runner::handlers{
+          [this](const config::accepted_config &New) { onAdopted(New); },
+          [this](const std::vector<instance> &List) {
+            Members->adoptInstanceList(List);
+          },
+          [this](const std::set<target_id> &Leaving) {
+            Dispatch->setLeaving(Leaving);
+          },
+          [this](const std::string &Index, query::pinned_snapshot Snapshot) {
+            Queries->recordHint(Index, std::move(Snapshot));
+          }});
+}
+
+auto entry::start() -> result<void> {
+  if (const auto Served = Peers->start(); !Served)
+    return Served.error();
+  Members->start();
+  Config->start();
+  return succeed();
+}
+
+auto entry::stop() -> void {
+  Config->stop();
+  ControlPool.stop();
+  Pool.stop();
+  Peers->stop();
+}
+
+auto entry::query(query_request Request, const bool Forwarded,
+                  std::function<void(query_answer)> Done) -> void {
+  const time_point Started = now();
+  if (Request.RequestId.empty())
+    Request.RequestId =
+        Settings.Self.Id + "-" + std::to_string(++RequestNumber);
+  const auto Current = inForce().Deployment;
+  if (!Current)
+    return Done(refusal(Request, result_code::NotRunNoConfiguration, ""));
+  const contract *const Contract = Current->findContract(Request.Contract);
+  if (!Contract)
+    return Done(refusal(Request, result_code::UnknownContract,
+                        "'" + Request.Contract + "'"));
+  const fingerprint Fingerprint = fingerprintOf(Request);
+  auto Recorded = [this, Started, Id = Contract->Id,
+                   Done = std::move(Done)](query_answer Answer) {
+    record(Answer, Id, Started);
+    Done(std::move(Answer));
+  };
+  if (Contract->Repeatable)
+    return runQuery(std::move(Request), Fingerprint, std::move(Recorded));
+  Once->handle(std::move(Request), Fingerprint, Forwarded,
+               Contract->Deadline + ForwardPatience, std::move(Recorded));
+}
+
+auto entry::runQuery(query_request Request, const fingerprint Fingerprint,
+                     std::function<void(query_answer)> Done) -> void {
+  auto Verdict = admission::poison_verdict::Clear;
+  {
+    const std::lock_guard Lock(PoisonMutex);
+    Verdict = Poison.verdict(Fingerprint, now());
+  }
+  if (Verdict == admission::poison_verdict::Held)
+    return Done(refusal(Request, result_code::NotRunPoisonHeld, ""));
+  const bool Suspect = Verdict == admission::poison_verdict::Suspect;
+  Queries->run(std::move(Request), inForce().Deployment, Fingerprint, Suspect,
+               [this, Fingerprint, Done = std::move(Done)](query_answer A) {
+                 if (A.Code == result_code::Ok) {
+                   const std::lock_guard Lock(PoisonMutex);
+                   Poison.recordSuccess(Fingerprint);
+                 }
+                 Done(std::move(A));
+               });
+}
+
+auto entry::record(const query_answer &Answer, const contract_id &Contract,
+                   const time_point Started) -> void {
+  const auto Latency =
+      std::chrono::duration_cast<microseconds>(now() - Started);
+  const bool Complete = Answer.Code == result_code::Ok;
+  {
+    const std::lock_guard Lock(BurnMutex);
+    Burn.record(Contract, Latency, Complete, now());
+  }
+  const std::string Result(resultRow(Answer.Code).Name);
+  Metrics
+      .counter("tarragon_requests_total",
+               {{"contract", Contract}, {"result", Result}})
+      .add();
+  Metrics.counter("tarragon_attempts_total", {{"contract", Contract}})
+      .add(Answer.Attempts);
+  Metrics.summary("tarragon_request_seconds", {{"contract", Contract}})
+      .observe(Latency);
+  log::write(log::level::Debug, log::part::Query, "request ended",
+             {{"request", Answer.RequestId},
+              {"contract", Contract},
+              {"result", Result},
+              {"us", std::to_string(Latency.count())}});
+}
+
+auto entry::issueTickets(const std::size_t Count)
+    -> result<std::vector<std::string>> {
+  auto Tickets = Once->issue(Count);
+  if (Tickets.empty())
+    return fail(result_code::NotRunDraining, "no tickets are given out");
+  return Tickets;
+}
+
+auto entry::addresses(const failure_domain &CallerDomain)
+    -> result<membership::address_answer> {
+  const auto All = Members->members();
+  const bool Alone = All.size() <= 1;
+  if (!Alone && !Members->reachesPeers() && !Config->reachesPlatform())
+    return fail(result_code::NotRunIsolated, "");
+  const auto Current = inForce().Deployment;
+  const milliseconds Lifetime =
+      Current ? Current->AddressLifetime : deployment{}.AddressLifetime;
+  return membership::rankAddresses(All, CallerDomain, ++AddressSpread,
+                                   Lifetime);
+}
+
+auto entry::postControl(transport::worker_pool::job Job) -> void {
+  ControlPool.post(std::move(Job));
+}
+
+auto entry::apply(const config::apply_request &Request)
+    -> config::apply_outcome {
+  return Config->apply(Request);
+}
+
+auto entry::inForce() const -> config::accepted_config {
+  return Config->inForce();
+}
+
+auto entry::burn() const -> report::burn_report {
+  const std::lock_guard Lock(BurnMutex);
+  return Burn.report(now());
+}
+
+auto entry::onMembers(const std::vector<instance> &) -> void { assignOwners(); }
+
+auto entry::onAdopted(const config::accepted_config &New) -> void {
+  Dispatch->reconfigure(*New.Deployment);
+  {
+    const std::lock_guard Lock(BurnMutex);
+    Burn.setContracts(New.Deployment->Contracts);
+  }
+  Members->setConfig(New.Version);
+  assignOwners();
+}
+
+auto entry::assignOwners() -> void {
+  const auto Current = Config ? inForce().Deployment : nullptr;
+  if (!Current)
+    return;
+  const auto All = Members->members();
+  std::map<group_id, instance> Owners;
+  std::set<group_id> Owned;
+  for (const service &Service : Current->Services)
+    for (const replica_group &Group : Service.Groups) {
+      const auto Owner = membership::ownerOf(Group, All);
+      for (const instance &Member : All)
+        if (Owner && Member.Id == *Owner)
+          Owners[Group.Id] = Member;
+      if (Owner && *Owner == Settings.Self.Id)
+        Owned.insert(Group.Id);
+    }
+  Router->setOwners(std::move(Owners));
+  Dispatch->setOwned(Owned);
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/entrypeers.cpp
@@ -0,0 +1,129 @@
+// The half of entry that answers peers and settles subrequests.
+#include "entry/entry.h"
+
+#include "config/deploymentfile.h"
+#include "global/log.h"
+
+namespace tarragon::entry {
+
+namespace {
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+auto toOffer(const config::accepted_config &Config) -> peer::config_offer {
+  return {Config.Version, Config.Text, Config.ContentHash, Config.ChangeId,
+          Config.Operator};
+}
+
+auto fromOffer(const peer::config_offer &Offer) -> config::accepted_config {
+  config::accepted_config Config;
+  Config.Version = Offer.Version;
+  Config.Text = Offer.Text;
+  Config.ContentHash = Offer.ContentHash;
+  Config.ChangeId = Offer.ChangeId;
+  Config.Operator = Offer.Operator;
+  return Config;
+}
+
+} // namespace
+
+auto entry::onPeerMessage(const instance &From, peer::peer_message Message)
+    -> void {
+  Router->peerHeard(From.Id);
+  std::visit([this, &From](auto &&One) { handle(From, std::move(One)); },
+             std::move(Message));
+}
+
+auto entry::handle(const instance &, peer::dispatch_message Message) -> void {
+  Dispatch->submit(std::move(Message.Request));
+}
+
+auto entry::handle(const instance &From, const peer::cancel_message &Message)
+    -> void {
+  Dispatch->cancel(Message.Id, From.Id, Message.Group);
+}
+
+auto entry::handle(const instance &, const peer::settle_message &Message)
+    -> void {
+  settleHere(Message.Settlement);
+}
+
+auto entry::handle(const instance &, const membership::gossip_message &Message)
+    -> void {
+  Members->onMessage(Message);
+}
+
+auto entry::handle(const instance &, const peer::crash_message &Message)
+    -> void {
+  const std::lock_guard Lock(PoisonMutex);
+  Poison.recordCrash(Message.Report, now());
+}
+
+auto entry::handle(const instance &From, const peer::config_request &Message)
+    -> void {
+  const auto Newest = Config->newest();
+  if (Newest.Version > Message.Have)
+    Peers->send(From, toOffer(Newest));
+}
+
+auto entry::handle(const instance &, const peer::config_offer &Message)
+    -> void {
+  Config->adopt(fromOffer(Message));
+}
+
+auto entry::handle(const instance &From, peer::ledger_message Message) -> void {
+  log::write(log::level::Info, log::part::Once, "ledger taken over",
+             {{"from", From.Id},
+              {"tickets", std::to_string(Message.Ledger.Answers.size())}});
+  Once->adopt(std::move(Message.Ledger));
+}
+
+auto entry::onPeerLost(const instance &Peer) -> void {
+  for (const subrequest_id &Id : Router->peerLost(Peer.Id)) {
+    settlement Lost;
+    Lost.Id = Id;
+    Lost.Outcome = attempt_outcome::NotSent;
+    Lost.ProvenNotRun = false; // the owner may have run it
+    settleHere(Lost);
+  }
+}
+
+auto entry::onSettled(const instance_id &Root, settlement Settlement) -> void {
+  if (Root == Settings.Self.Id)
+    return settleHere(Settlement);
+  const auto To = Members->find(Root);
+  if (To)
+    Peers->send(*To, peer::settle_message{std::move(Settlement)});
+}
+
+auto entry::settleHere(const settlement &Settlement) -> void {
+  const auto Sent = Router->settled(Settlement.Id);
+  if (Sent && !Settlement.CrashedTargets.empty())
+    reportCrashes(Settlement, *Sent);
+  Queries->settle(Settlement);
+}
+
+auto entry::reportCrashes(const settlement &Settlement,
+                          const subrequest_router::sent &Sent) -> void {
+  for (const target_id &Target : Settlement.CrashedTargets) {
+    const admission::crash_report Report{Sent.Fingerprint, Target, Sent.Suspect,
+                                         milliseconds{0}};
+    log::write(log::level::Warning, log::part::Admission,
+               "target crashed under a request", {{"target", Target}});
+    {
+      const std::lock_guard Lock(PoisonMutex);
+      Poison.recordCrash(Report, now());
+    }
+    toLivePeers(peer::crash_message{Report});
+  }
+}
+
+auto entry::toLivePeers(const peer::peer_message &Message) -> void {
+  for (const instance &Member : Members->members()) {
+    const bool Other = Member.Id != Settings.Self.Id;
+    if (Other && Member.State == instance_state::Live)
+      Peers->send(Member, Message);
+  }
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/entrystop.cpp
@@ -0,0 +1,93 @@
+// The half of entry that reports on it and stops it in order.
+#include "entry/entry.h"
+
+#include "global/log.h"
+
+namespace tarragon::entry {
+
+namespace {
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+auto heardAgo(const time_point At) -> std::string {
+  const auto Ago = std::chrono::duration_cast<milliseconds>(now() - At);
+  return "heard " + std::to_string(Ago.count()) + "ms ago";
+}
+
+} // namespace
+
+auto entry::status() const -> entry_status {
+  entry_status Status;
+  Status.Instance = Settings.Self.Id;
+  Status.Config = inForce().Version;
+  Status.Draining = Draining;
+  Status.ReachesPlatform = Config->reachesPlatform();
+  Status.ReachesPeers = Members->reachesPeers();
+  const auto Told = Members->toldConfigs();
+  for (const instance &Member : Members->members()) {
+    member_status Row{Member, 0, "never heard"};
+    const auto Found = Told.find(Member.Id);
+    if (Member.Id == Settings.Self.Id)
+      Row = {Member, Status.Config, "self"};
+    else if (Found != Told.end())
+      Row = {Member, Found->second.Version, heardAgo(Found->second.At)};
+    Status.Members.push_back(std::move(Row));
+  }
+  return Status;
+}
+
+auto entry::snapshots() -> std::map<contract_id, query::pinned_snapshot> {
+  std::map<contract_id, query::pinned_snapshot> Pinned;
+  const auto Current = inForce().Deployment;
+  if (!Current)
+    return Pinned;
+  for (const contract &Contract : Current->Contracts)
+    if (auto Snapshot = Queries->pin(*Current, Contract))
+      Pinned.emplace(Contract.Id, std::move(*Snapshot));
+  return Pinned;
+}
+
+auto entry::exposition() -> std::string {
+  Metrics.gauge("tarragon_config_version")
+      .set(static_cast<double>(inForce().Version));
+  Metrics.gauge("tarragon_queries_running")
+      .set(static_cast<double>(Queries->running()));
+  Metrics.gauge("tarragon_tickets_remembered")
+      .set(static_cast<double>(Once->size()));
+  Metrics.gauge("tarragon_target_connections_opened")
+      .set(static_cast<double>(Dispatch->connectionsOpened()));
+  Metrics.gauge("tarragon_peer_bytes_sent")
+      .set(static_cast<double>(Peers->bytesSent()));
+  Metrics.gauge("tarragon_draining").set(Draining ? 1 : 0);
+  return Metrics.exposition();
+}
+
+auto entry::drain() -> void {
+  if (Draining.exchange(true))
+    return;
+  DrainingSince = now().time_since_epoch().count();
+  log::write(log::level::Info, log::part::Entry, "drain begins");
+  Members->leave();
+}
+
+auto entry::drained() -> bool {
+  if (!Draining)
+    return false;
+  const time_point Since{time_point::duration{DrainingSince.load()}};
+  const auto Current = inForce().Deployment;
+  const milliseconds Lifetime =
+      Current ? Current->AddressLifetime : deployment{}.AddressLifetime;
+  // Callers may come by answers given just before.
+  if (now() - Since < Lifetime)
+    return false;
+  Once->seal();
+  if (now() - Since > Lifetime + Settings.DrainLimit)
+    return true;
+  return Queries->running() == 0 && Dispatch->idle() && Once->settled();
+}
+
+auto entry::handOver() -> void {
+  toLivePeers(peer::ledger_message{Once->sealedCopy()});
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/httpapi.cpp
@@ -0,0 +1,52 @@
+#include "entry/httpapi.h"
+
+#include "entry/adminapi.h"
+#include "entry/answerjson.h"
+#include "entry/callerapi.h"
+#include "entry/entry.h"
+#include "global/json.h"
+#include "transport/httpserver.h"
+
+#include <json/json.h>
+
+namespace tarragon::entry {
+
+http_api::http_api(entry &Entry)
+    : Entry(Entry), Callers(std::make_unique<caller_api>(Entry)),
+      Operators(std::make_unique<admin_api>(Entry)),
+      Server(std::make_unique<transport::http_server>(
+          transport::http_server_settings{Entry.settings().Self.CallerAddress,
+                                          Entry.settings().CallerThreads,
+                                          Entry.settings().MostBodyBytes})) {}
+
+http_api::~http_api() = default;
+
+auto http_api::start() -> result<void> {
+  return Server->start([this](transport::http_request Request,
+                              transport::http_responder Responder) {
+    route(std::move(Request), std::move(Responder));
+  });
+}
+
+auto http_api::stop() -> void { Server->stop(); }
+
+auto http_api::route(transport::http_request Request,
+                     transport::http_responder Responder) -> void {
+  if (Request.Path.starts_with("/admin/"))
+    return Operators->handle(std::move(Request), std::move(Responder));
+  if (Request.Path == "/metrics")
+    return Responder.send(200, Entry.exposition(), "text/plain");
+  Callers->handle(std::move(Request), std::move(Responder));
+}
+
+auto reply(transport::http_responder &Responder, const result_code Code,
+           const Json::Value &Body) -> void {
+  Responder.send(resultRow(Code).HttpStatus, writeJson(Body));
+}
+
+auto refuse(transport::http_responder &Responder, const failure &Failure)
+    -> void {
+  reply(Responder, Failure.Code, refusalJson(Failure.Code, Failure.Detail));
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/httpapi.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "global/result.h"
+#include "transport/httpresponder.h"
+#include "transport/types/httprequest.h"
+
+#include <json/forwards.h>
+
+#include <memory>
+
+namespace tarragon::transport {
+class http_server;
+}
+
+namespace tarragon::entry {
+
+class admin_api;
+class caller_api;
+class entry;
+
+/// Serves callers, operators and scrapers on the instance's caller address.
+class http_api {
+public:
+  explicit http_api(entry &Entry);
+  ~http_api();
+
+  auto start() -> result<void>;
+  auto stop() -> void;
+
+private:
+  auto route(transport::http_request Request,
+             transport::http_responder Responder) -> void;
+
+  entry &Entry;
+  std::unique_ptr<caller_api> Callers;
+  std::unique_ptr<admin_api> Operators;
+  std::unique_ptr<transport::http_server> Server;
+};
+
+/// Sends \p Body with the HTTP status of \p Code.
+auto reply(transport::http_responder &Responder, result_code Code,
+           const Json::Value &Body) -> void;
+
+/// Sends a body that holds only \p Failure.
+auto refuse(transport::http_responder &Responder, const failure &Failure)
+    -> void;
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/membershiprunner.cpp
@@ -0,0 +1,142 @@
+#include "entry/membershiprunner.h"
+
+#include "global/hash.h"
+#include "transport/workerpool.h"
+
+#include <algorithm>
+
+namespace tarragon::entry {
+
+namespace {
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+auto tableSettings(const entry_settings &Settings)
+    -> membership::membership_settings {
+  membership::membership_settings Table;
+  Table.ProbePeriod = Settings.ProbePeriod;
+  Table.ProbeTimeout = Settings.ProbePeriod * 3 / 4;
+  Table.SuspicionTime = Settings.SuspicionTime;
+  return Table;
+}
+
+} // namespace
+
+membership_runner::membership_runner(const entry_settings &Settings,
+                                     transport::worker_pool &Pool,
+                                     handlers Handlers)
+    : Pool(Pool), Handlers(std::move(Handlers)),
+      Table(Settings.Self, tableSettings(Settings),
+            hash64(Settings.Self.Id, Settings.Self.Incarnation), now()) {}
+
+auto membership_runner::start() -> void {
+  afterStep();
+  arrangeWake();
+}
+
+auto membership_runner::onMessage(const membership::gossip_message &Message)
+    -> void {
+  messages Out;
+  {
+    const std::lock_guard Lock(Mutex);
+    Told[Message.From.Id] = {Message.Config, now()};
+    Out = Table.onMessage(Message, now());
+  }
+  send(std::move(Out));
+  afterStep();
+}
+
+auto membership_runner::adoptInstanceList(const std::vector<instance> &List)
+    -> void {
+  {
+    const std::lock_guard Lock(Mutex);
+    Table.adoptInstanceList(List, now());
+  }
+  afterStep();
+}
+
+auto membership_runner::setConfig(const config_version Version) -> void {
+  const std::lock_guard Lock(Mutex);
+  Config = Version;
+  Table.setConfig(Version);
+}
+
+auto membership_runner::leave() -> void {
+  messages Out;
+  {
+    const std::lock_guard Lock(Mutex);
+    Out = Table.leave(now());
+  }
+  send(std::move(Out));
+  afterStep();
+}
+
+auto membership_runner::members() const -> std::vector<instance> {
+  const std::lock_guard Lock(Mutex);
+  return Table.members();
+}
+
+auto membership_runner::find(const instance_id &Id) const
+    -> std::optional<instance> {
+  for (instance &Member : members())
+    if (Member.Id == Id)
+      return std::move(Member);
+  return std::nullopt;
+}
+
+auto membership_runner::toldConfigs() const
+    -> std::map<instance_id, told_config> {
+  const std::lock_guard Lock(Mutex);
+  return Told;
+}
+
+auto membership_runner::reachesPeers() const -> bool {
+  const std::lock_guard Lock(Mutex);
+  return Table.reachesPeers(now());
+}
+
+auto membership_runner::send(messages Messages) -> void {
+  for (membership::outgoing_gossip &Outgoing : Messages)
+    Handlers.Send(Outgoing.To, std::move(Outgoing.Message));
+}
+
+auto membership_runner::afterStep() -> void {
+  std::vector<instance> Members;
+  std::optional<std::pair<instance, config_version>> Newest;
+  bool Changed = false;
+  {
+    const std::lock_guard Lock(Mutex);
+    Members = Table.members();
+    Changed = Members != LastMembers;
+    LastMembers = Members;
+    Newest = Table.newestConfig();
+    if (Newest && Newest->second <= Config)
+      Newest.reset();
+  }
+  if (Changed)
+    Handlers.OnChanged(Members);
+  if (Newest)
+    Handlers.OnNewerConfig(Newest->first, Newest->second);
+}
+
+auto membership_runner::arrangeWake() -> void {
+  time_point WakeAt;
+  {
+    const std::lock_guard Lock(Mutex);
+    WakeAt = Table.nextWake();
+  }
+  Pool.postAt(WakeAt, [this] { onWake(); });
+}
+
+auto membership_runner::onWake() -> void {
+  messages Out;
+  {
+    const std::lock_guard Lock(Mutex);
+    Out = Table.onTimer(now());
+  }
+  send(std::move(Out));
+  afterStep();
+  arrangeWake();
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/oncerunner.cpp
@@ -0,0 +1,159 @@
+#include "entry/oncerunner.h"
+
+#include "entry/requestjson.h"
+#include "global/json.h"
+
+#include <json/json.h>
+
+namespace tarragon::entry {
+
+namespace {
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+auto refusal(const query_request &Request, const result_code Code,
+             std::string Detail) -> query_answer {
+  query_answer Answer;
+  Answer.RequestId = Request.RequestId;
+  Answer.Code = Code;
+  Answer.Detail = std::move(Detail);
+  return Answer;
+}
+
+/// The answer another instance gave, or that its outcome is unknown.
+auto readForwarded(const query_request &Request,
+                   const transport::http_reply &Reply) -> query_answer {
+  const auto Unknown = [&Request] {
+    return refusal(Request, result_code::OutcomeUnknown,
+                   "the instance that holds the ticket did not answer");
+  };
+  if (Reply.End != transport::call_end::Replied)
+    return Unknown();
+  const auto Body = parseJson(Reply.Body);
+  if (!Body)
+    return Unknown();
+  auto Answer = readAnswerJson(Body.value());
+  return Answer ? std::move(Answer.value()) : Unknown();
+}
+
+} // namespace
+
+once_runner::once_runner(const entry_settings &Settings, run_function Run,
+                         find_function Find)
+    : Self(Settings.Self.Id), Run(std::move(Run)), Find(std::move(Find)),
+      Ledger(Settings.Self.Id, Settings.Self.Incarnation, now(),
+             Settings.TicketLifetime),
+      Loop(transport::link_loop_settings{}) {}
+
+auto once_runner::issue(const std::size_t Count) -> std::vector<std::string> {
+  const std::lock_guard Lock(Mutex);
+  Ledger.expire(now());
+  std::vector<std::string> Texts;
+  for (const once::ticket &Ticket : Ledger.issue(Count, now()))
+    Texts.push_back(once::formatTicket(Ticket));
+  return Texts;
+}
+
+auto once_runner::handle(query_request Request, const fingerprint Fingerprint,
+                         const bool Forwarded, const milliseconds Patience,
+                         completion Done) -> void {
+  if (!Request.Ticket)
+    return Done(refusal(Request, result_code::TicketRequired, ""));
+  const auto Ticket = once::parseTicket(*Request.Ticket);
+  if (!Ticket)
+    return Done(refusal(Request, result_code::MalformedTicket, ""));
+  once::ledger_verdict Verdict;
+  {
+    const std::lock_guard Lock(Mutex);
+    Verdict = Ledger.begin(*Ticket, Fingerprint, now());
+    if (std::holds_alternative<once::await_answer>(Verdict)) {
+      Waiting[Ticket->Number].push_back(std::move(Done));
+      return;
+    }
+  }
+  if (std::holds_alternative<once::run_now>(Verdict))
+    return runNow(*Ticket, std::move(Request), std::move(Done));
+  if (auto *Replay = std::get_if<once::replay_answer>(&Verdict)) {
+    Replay->Answer.RequestId = Request.RequestId;
+    return Done(std::move(Replay->Answer));
+  }
+  const auto To = std::get<once::forward_to>(Verdict);
+  if (Forwarded)
+    return Done(refusal(Request, result_code::OutcomeUnknown,
+                        "the ticket belongs to another instance"));
+  forward(Request, To, Patience, std::move(Done));
+}
+
+auto once_runner::runNow(const once::ticket &Ticket, query_request Request,
+                         completion Done) -> void {
+  {
+    const std::lock_guard Lock(Mutex);
+    Waiting[Ticket.Number].push_back(std::move(Done));
+  }
+  Run(std::move(Request), [this, Ticket](query_answer Answer) {
+    onRun(Ticket, std::move(Answer));
+  });
+}
+
+auto once_runner::onRun(const once::ticket &Ticket, query_answer Answer)
+    -> void {
+  std::vector<completion> Told;
+  {
+    const std::lock_guard Lock(Mutex);
+    Ledger.finish(Ticket, Answer, now());
+    const auto Found = Waiting.find(Ticket.Number);
+    if (Found != Waiting.end()) {
+      Told = std::move(Found->second);
+      Waiting.erase(Found);
+    }
+  }
+  for (const completion &Done : Told)
+    Done(Answer);
+}
+
+auto once_runner::forward(const query_request &Request,
+                          const once::forward_to &To,
+                          const milliseconds Patience, completion Done)
+    -> void {
+  const auto Holder = Find(To.Instance);
+  const bool SameLife = Holder && Holder->Incarnation == To.Incarnation;
+  if (!SameLife)
+    return Done(refusal(Request, result_code::OutcomeUnknown,
+                        "the instance that held the ticket is gone"));
+  transport::http_call Call;
+  Call.To = Holder->CallerAddress;
+  Call.Path = "/v1/query?forwarded=1";
+  Call.Body = writeJson(requestJson(Request));
+  Call.Timeout = Patience;
+  Loop.start(std::move(Call), [Request, Done = std::move(Done)](
+                                  const transport::http_reply &Reply) {
+    Done(readForwarded(Request, Reply));
+  });
+}
+
+auto once_runner::seal() -> void {
+  const std::lock_guard Lock(Mutex);
+  Ledger.seal();
+}
+
+auto once_runner::settled() const -> bool {
+  const std::lock_guard Lock(Mutex);
+  return Ledger.settled();
+}
+
+auto once_runner::sealedCopy() const -> once::sealed_ledger {
+  const std::lock_guard Lock(Mutex);
+  return Ledger.sealedCopy();
+}
+
+auto once_runner::adopt(once::sealed_ledger Sealed) -> void {
+  const std::lock_guard Lock(Mutex);
+  Ledger.adopt(std::move(Sealed), now());
+}
+
+auto once_runner::size() const -> std::size_t {
+  const std::lock_guard Lock(Mutex);
+  return Ledger.size();
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/oncerunner.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "entry/types/entrysettings.h"
+#include "once/ticketledger.h"
+#include "transport/linkloop.h"
+#include "world/types/queryanswer.h"
+#include "world/types/queryrequest.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace tarragon::entry {
+
+/// Runs non-repeatable requests by their tickets: here, by waiting for the run
+/// under way, from memory, or through the instance that holds the ticket.
+class once_runner {
+public:
+  using completion = std::function<void(query_answer)>;
+  /// Runs the request for real; called at most once for a ticket.
+  using run_function = std::function<void(query_request, completion)>;
+  using find_function =
+      std::function<std::optional<instance>(const instance_id &)>;
+
+  once_runner(const entry_settings &Settings, run_function Run,
+              find_function Find);
+
+  auto issue(std::size_t Count) -> std::vector<std::string>;
+
+  /// \p Forwarded: another instance passed the request on; it goes no further.
+  auto handle(query_request Request, fingerprint Fingerprint, bool Forwarded,
+              milliseconds Patience, completion Done) -> void;
+
+  /// Refuses what has not begun; see settled().
+  auto seal() -> void;
+  auto settled() const -> bool;
+  auto sealedCopy() const -> once::sealed_ledger;
+  auto adopt(once::sealed_ledger Ledger) -> void;
+  auto size() const -> std::size_t;
+
+private:
+  auto runNow(const once::ticket &Ticket, query_request Request,
+              completion Done) -> void;
+  auto onRun(const once::ticket &Ticket, query_answer Answer) -> void;
+  auto forward(const query_request &Request, const once::forward_to &To,
+               milliseconds Patience, completion Done) -> void;
+
+  instance_id Self;
+  run_function Run;
+  find_function Find;
+  mutable std::mutex Mutex; // rank 45
+  once::ticket_ledger Ledger;
+  std::map<std::uint64_t, std::vector<completion>> Waiting;
+  transport::link_loop Loop;
+};
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/entry/queryrunner.cpp
@@ -0,0 +1,128 @@
+#include "entry/queryrunner.h"
+
+#include "transport/workerpool.h"
+
+namespace tarragon::entry {
+
+namespace {
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+} // namespace
+
+query_runner::query_runner(instance_id Self, transport::worker_pool &Pool,
+                           handlers Handlers)
+    : Self(std::move(Self)), Pool(Pool), Handlers(std::move(Handlers)) {}
+
+auto query_runner::run(query_request Request,
+                       std::shared_ptr<const deployment> Deployment,
+                       const fingerprint Fingerprint, const bool Suspect,
+                       completion Done) -> void {
+  const auto Slot = std::make_shared<slot>();
+  std::uint64_t Number = 0;
+  {
+    const std::lock_guard Lock(Mutex);
+    Number = ++LastNumber;
+    Slots.emplace(Number, Slot);
+  }
+  Slot->Fingerprint = Fingerprint;
+  Slot->Done = std::move(Done);
+  Slot->Query = std::make_unique<query::scatter_query>(
+      Number, Self, std::move(Request), std::move(Deployment), Fingerprint,
+      Suspect);
+  step(Number, Slot, [this](query::scatter_query &Query) {
+    const std::lock_guard Lock(VersionMutex);
+    return Query.start(Versions, now());
+  });
+}
+
+auto query_runner::settle(const settlement &Settlement) -> void {
+  if (!Settlement.Held.empty()) {
+    const std::lock_guard Lock(VersionMutex);
+    Versions.recordHeld(Settlement.Target, Settlement.Held, now());
+  }
+  const std::uint64_t Number = Settlement.Id.Query;
+  const slot_pointer Slot = find(Number);
+  if (!Slot)
+    return;
+  step(Number, Slot, [&](query::scatter_query &Query) {
+    const std::lock_guard Lock(VersionMutex);
+    return Query.onSettlement(Settlement, Versions, now());
+  });
+}
+
+auto query_runner::recordHint(const std::string &Index,
+                              query::pinned_snapshot Snapshot) -> void {
+  const std::lock_guard Lock(VersionMutex);
+  Versions.recordHint(Index, std::move(Snapshot));
+}
+
+auto query_runner::pin(const deployment &Deployment, const contract &Contract)
+    -> std::optional<query::pinned_snapshot> {
+  const std::lock_guard Lock(VersionMutex);
+  return Versions.pin(Deployment, Contract);
+}
+
+auto query_runner::running() const -> std::size_t {
+  const std::lock_guard Lock(Mutex);
+  return Slots.size();
+}
+
+auto query_runner::find(const std::uint64_t Number) const -> slot_pointer {
+  const std::lock_guard Lock(Mutex);
+  const auto Found = Slots.find(Number);
+  return Found == Slots.end() ? nullptr : Found->second;
+}
+
+template <class Event>
+auto query_runner::step(const std::uint64_t Number, const slot_pointer &Slot,
+                        Event &&Apply) -> void {
+  query::query_actions Actions;
+  {
+    const std::lock_guard Lock(Slot->Mutex);
+    if (Slot->Query->finished())
+      return;
+    Actions = Apply(*Slot->Query);
+  }
+  perform(Number, Slot, std::move(Actions));
+  arrangeWake(Number, Slot);
+}
+
+auto query_runner::perform(const std::uint64_t Number, const slot_pointer &Slot,
+                           query::query_actions Actions) -> void {
+  for (query::query_action &Action : Actions) {
+    if (auto *Send = std::get_if<query::send_subrequest>(&Action)) {
+      Handlers.Send(std::move(Send->Request));
+    } else if (const auto *Cancel =
+                   std::get_if<query::cancel_subrequest>(&Action)) {
+      Handlers.Cancel(*Cancel);
+    } else if (auto *Finish = std::get_if<query::finish_query>(&Action)) {
+      {
+        const std::lock_guard Lock(Mutex);
+        Slots.erase(Number);
+      }
+      Slot->Done(std::move(Finish->Answer));
+    }
+  }
+}
+
+auto query_runner::arrangeWake(const std::uint64_t Number,
+                               const slot_pointer &Slot) -> void {
+  time_point WakeAt;
+  {
+    const std::lock_guard Lock(Slot->Mutex);
+    const auto Next = Slot->Query->nextWake();
+    if (!Next || *Next >= Slot->WakeAt)
+      return;
+    Slot->WakeAt = *Next;
+    WakeAt = *Next;
+  }
+  Pool.postAt(WakeAt, [this, Number, Slot] {
+    step(Number, Slot, [&Slot](query::scatter_query &Query) {
+      Slot->WakeAt = time_point::max();
+      return Query.onTimer(now());
+    });
+  });
+}
+
+} // namespace tarragon::entry
--- /dev/null
+++ b/src/peer/internal/gossipcodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "membership/types/gossipmessage.h"
+
+#include <json/forwards.h>
+
+namespace tarragon::peer {
+
+/// JSON forms of membership messages. Readers throw Json::Exception on a wrong
+/// type.
+auto writeInstance(const instance &Instance) -> Json::Value;
+auto readInstance(const Json::Value &Value) -> instance;
+auto writeGossip(const membership::gossip_message &Message) -> Json::Value;
+auto readGossip(const Json::Value &Value) -> membership::gossip_message;
+
+} // namespace tarragon::peer
--- /dev/null
+++ b/src/peer/internal/rpcenvelope.cpp
@@ -0,0 +1,34 @@
+#include "peer/internal/rpcenvelope.h"
+
+#include <json/json.h>
+#include <jsonrpccpp/client.h>
+
+namespace tarragon {
+namespace peer {
+
+namespace {
+
+/// Keeps the text that the library would send.
+class capturing_connector : public jsonrpc::IClientConnector {
+public:
+  // The library's own signature has this exception specification.
+  void // NOLINT(modernize-use-trailing-return-type)
+  SendRPCMessage(const std::string &Message,
+                 std::string &) throw(jsonrpc::JsonRpcException) override {
+    Text = Message;
+  }
+
+  std::string Text;
+};
+
+} // namespace
+
+auto makeNotification(const Json::Value &Parameters) -> std::string {
+  capturing_connector Connector;
+  jsonrpc::Client Client(Connector);
+  Client.CallNotification(DeliverMethod, Parameters);
+  return Connector.Text;
+}
+
+} // namespace peer
+} // namespace tarragon
--- /dev/null
+++ b/src/peer/internal/rpcservice.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "peer/internal/rpcenvelope.h"
+
+#include <json/json.h>
+#include <jsonrpccpp/server/abstractserver.h>
+#include <jsonrpccpp/server/abstractserverconnector.h>
+
+#include <functional>
+#include <string>
+
+namespace tarragon::peer {
+
+/// Hands bodies that our own HTTP server took in to the RPC library.
+class http_connector : public jsonrpc::AbstractServerConnector {
+public:
+  auto StartListening() -> bool override { return true; }
+  auto StopListening() -> bool override { return true; }
+  auto SendResponse(const std::string &Response, void *AddInfo)
+      -> bool override {
+    *static_cast<std::string *>(AddInfo) = Response;
+    return true;
+  }
+};
+
+/// The RPC server with its one notification. Called from several threads.
+class rpc_service : public jsonrpc::AbstractServer<rpc_service> {
+public:
+  using receiver = std::function<void(const Json::Value &)>;
+
+  rpc_service(http_connector &Connector, receiver Receiver)
+      : AbstractServer(Connector), Receiver(std::move(Receiver)) {
+    bindAndAddNotification(jsonrpc::Procedure(DeliverMethod,
+                                              jsonrpc::PARAMS_BY_NAME, "from",
+                                              jsonrpc::JSON_OBJECT, "messages",
+                                              jsonrpc::JSON_ARRAY, nullptr),
+                           &rpc_service::onDeliver);
+  }
+
+private:
+  auto onDeliver(const Json::Value &Parameters) -> void {
+    Receiver(Parameters);
+  }
+
+  receiver Receiver;
+};
+
+} // namespace tarragon::peer
