Keep connections open between calls

Cause: Pistache answers 'Connection: Close' to a request without that header, so that every call opened a connection. Ruled out: the caller's library (it keeps connections by default). Change: our calls say keep-alive; our server says keep-alive to requests without the header. Conclusion: connection limits of targets can now be kept by reuse.

--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -27,6 +27,17 @@
   return Request;
 }
 
+/// The library closes the connection after a request without a Connection
+/// header, though HTTP/1.1 keeps it open then.
+auto keepOpen(const http::Request &Request, http::ResponseWriter &Response)
+    -> void {
+  if (Request.headers().has<http::Header::Connection>())
+    return;
+  Response.headers().remove<http::Header::Connection>();
+  Response.headers().add<http::Header::Connection>(
+      http::ConnectionControl::KeepAlive);
+}
+
 class request_handler : public http::Handler {
 public:
   HTTP_PROTOTYPE(request_handler)
@@ -36,6 +47,7 @@
 
   auto onRequest(const http::Request &Request, http::ResponseWriter Response)
       -> void override {
+    keepOpen(Request, Response);
     Handler(toRequest(Request),
             http_responder(std::make_unique<http_responder::channel>(
                 std::move(Response))));
--- a/src/transport/internal/exchange.cpp
+++ b/src/transport/internal/exchange.cpp
@@ -68,6 +68,8 @@
   prepareBody();
   Headers = curl_slist_append(Headers, "Content-Type: application/json");
   Headers = curl_slist_append(Headers, "Expect:");
+  // Servers made with Pistache close the connection unless told otherwise.
+  Headers = curl_slist_append(Headers, "Connection: keep-alive");
   for (const std::string &Header : Call.Headers)
     Headers = curl_slist_append(Headers, Header.c_str());
   curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, Headers);
--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -63,6 +63,19 @@
   BOOST_TEST((Reply.End == transport::call_end::Mismatched));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_connection_is_kept_for_the_next_call, served) {
+  for (int Count = 0; Count < 5; ++Count)
+    call({.To = ServerAddress, .Path = "/a", .Body = "text"});
+  BOOST_TEST(Loop.connectionsOpened() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_fresh_connection_is_neither_taken_nor_left, served) {
+  call({.To = ServerAddress, .Path = "/a", .Body = "text"});
+  call({.To = ServerAddress, .Path = "/a", .FreshConnection = true});
+  call({.To = ServerAddress, .Path = "/a", .Body = "text"});
+  BOOST_TEST(Loop.connectionsOpened() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_closed_port_is_proven_not_sent, served) {
   const auto Reply = call({.To = ClosedAddress, .Path = "/a"});
   BOOST_TEST((Reply.End == transport::call_end::NotSent));
