--- /dev/null
+++ b/src/config/deploymentfile.cpp
@@ -0,0 +1,139 @@
+#include "config/deploymentfile.h"
+
+#include "config/internal/contractreader.h"
+#include "config/internal/mappingreader.h"
+#include "config/internal/servicereader.h"
+#include "config/internal/textcheck.h"
+
+#include <algorithm>
+#include <exception>
+#include <set>
+
+namespace tarragon::config {
+
+namespace {
+
+constexpr std::size_t LongestFile = 8'000'000; ///< bytes
+constexpr int_range InstancesRange{1, 1000};
+constexpr time_range LifetimeRange{std::chrono::milliseconds{100},
+                                   std::chrono::hours{1}};
+constexpr time_range HoldRange{std::chrono::seconds{0}, std::chrono::hours{24}};
+
+/// Adds a fault and says false when the name stood before.
+auto checkUnique(const YAML::Node &Node, const std::string &Kind,
+                 const std::string &Name, std::set<std::string> &Seen,
+                 fault_list &Faults) -> bool {
+  if (Name.empty() || Seen.insert(Name).second)
+    return true;
+  Faults.add(Node, result_code::ConfigDuplicate,
+             Kind + " " + Name + " appears twice");
+  return false;
+}
+
+auto isList(const YAML::Node &Node, const std::string &Key, fault_list &Faults)
+    -> bool {
+  if (Node.IsSequence())
+    return true;
+  Faults.add(Node, result_code::ConfigMalformed, Key + " must be a list");
+  return false;
+}
+
+auto readServices(const YAML::Node &Node, deployment &Deployment,
+                  fault_list &Faults) -> void {
+  if (!isList(Node, "services", Faults))
+    return;
+  std::set<std::string> Seen;
+  service_reader Reader(Deployment.MostInstances, Faults);
+  for (const auto &Element : Node) {
+    if (Faults.full())
+      return;
+    auto Service = Reader.read(Element);
+    if (checkUnique(Element, "service", Service.Id, Seen, Faults))
+      Deployment.Services.push_back(std::move(Service));
+  }
+}
+
+auto readContracts(const YAML::Node &Node, deployment &Deployment,
+                   fault_list &Faults) -> void {
+  if (!isList(Node, "contracts", Faults))
+    return;
+  std::set<std::string> Seen;
+  contract_reader Reader(Deployment, Faults);
+  for (const auto &Element : Node) {
+    if (Faults.full())
+      return;
+    auto Contract = Reader.read(Element);
+    if (checkUnique(Element, "contract", Contract.Id, Seen, Faults))
+      Deployment.Contracts.push_back(std::move(Contract));
+  }
+}
+
+auto readRoot(const YAML::Node &Root, fault_list &Faults) -> deployment {
+  deployment Deployment;
+  mapping_reader Reader(Root, "deployment",
+                        {"most_instances", "address_lifetime", "poison_hold",
+                         "services", "contracts"},
+                        Faults);
+  if (!Reader.valid())
+    return Deployment;
+  Reader.readInt("most_instances", InstancesRange, Deployment.MostInstances);
+  Reader.readTime("address_lifetime", LifetimeRange,
+                  Deployment.AddressLifetime);
+  Reader.readTime("poison_hold", HoldRange, Deployment.PoisonHold);
+  if (const auto Services = Reader.require("services"))
+    readServices(*Services, Deployment, Faults);
+  if (const auto Contracts = Reader.require("contracts"))
+    readContracts(*Contracts, Deployment, Faults);
+  return Deployment;
+}
+
+/// Any client of the platform must be able to carry the text unchanged.
+auto isPlainText(const std::string_view Text, fault_list &Faults) -> bool {
+  if (Text.size() > LongestFile) {
+    Faults.addAt(1, 1, result_code::ConfigMalformed,
+                 "the file is longer than " + std::to_string(LongestFile) +
+                     " bytes");
+    return false;
+  }
+  const std::size_t Bad = findBadByte(Text);
+  if (Bad == Text.size())
+    return true;
+  const std::string_view Before = Text.substr(0, Bad);
+  const auto LineStart = Before.rfind('\n') + 1;
+  Faults.addAt(
+      static_cast<int>(std::count(Before.begin(), Before.end(), '\n')) + 1,
+      static_cast<int>(Bad - LineStart) + 1, result_code::ConfigMalformed,
+      "the file is not UTF-8 text");
+  return false;
+}
+
+auto readText(const std::string_view Text, fault_list &Faults) -> deployment {
+  if (!isPlainText(Text, Faults))
+    return {};
+  const auto Documents = YAML::LoadAll(std::string(Text));
+  if (Documents.size() != 1) {
+    Faults.addAt(1, 1, result_code::ConfigMalformed,
+                 "the file must hold exactly one YAML document");
+    return {};
+  }
+  return readRoot(Documents.front(), Faults);
+}
+
+} // namespace
+
+auto parseDeployment(const std::string_view Text) -> parsed_file {
+  fault_list Faults;
+  deployment Deployment;
+  try {
+    Deployment = readText(Text, Faults);
+  } catch (const YAML::Exception &Error) {
+    Faults.addAt(std::max(Error.mark.line, 0) + 1,
+                 std::max(Error.mark.column, 0) + 1,
+                 result_code::ConfigMalformed, Error.msg);
+  } catch (const std::exception &Error) {
+    Faults.addAt(1, 1, result_code::ConfigMalformed, Error.what());
+  }
+  return {std::move(Deployment), Faults.take()};
+}
+
+} // namespace tarragon::config
--- /dev/null
+++ b/src/platform/callbudget.cpp
@@ -0,0 +1,28 @@
+#include "platform/callbudget.h"
+
+#include <algorithm>
+
+namespace tarragon::platform {
+
+call_budget::call_budget(const double PerSecond, const double Capacity,
+                         const time_point Now)
+    : PerSecond(PerSecond), Capacity(std::max(Capacity, 1.0)),
+      Tokens(this->Capacity), Filled(Now) {}
+
+auto call_budget::take(const time_point Now) -> bool {
+  refill(Now);
+  if (Tokens < 1.0)
+    return false;
+  Tokens -= 1.0;
+  return true;
+}
+
+auto call_budget::refill(const time_point Now) -> void {
+  if (Now <= Filled)
+    return;
+  const std::chrono::duration<double> Elapsed = Now - Filled;
+  Tokens = std::min(Capacity, Tokens + Elapsed.count() * PerSecond);
+  Filled = Now;
+}
+
+} // namespace tarragon::platform
--- /dev/null
+++ b/src/platform/internal/curlpool.cpp
@@ -0,0 +1,36 @@
+#include "platform/internal/curlpool.h"
+
+namespace tarragon::platform {
+
+namespace {
+
+constexpr std::size_t MostIdle = 8;
+
+} // namespace
+
+auto curl_pool::closer::operator()(CURL *const Handle) const -> void {
+  curl_easy_cleanup(Handle);
+}
+
+curl_pool::curl_pool() {
+  static const CURLcode Started = curl_global_init(CURL_GLOBAL_ALL);
+  static_cast<void>(Started);
+}
+
+auto curl_pool::take() -> handle {
+  const std::lock_guard Guard(Lock);
+  if (Idle.empty())
+    return handle(curl_easy_init());
+  handle Handle = std::move(Idle.back());
+  Idle.pop_back();
+  return Handle;
+}
+
+auto curl_pool::giveBack(handle Handle) -> void {
+  curl_easy_reset(Handle.get());
+  const std::lock_guard Guard(Lock);
+  if (Idle.size() < MostIdle)
+    Idle.push_back(std::move(Handle));
+}
+
+} // namespace tarragon::platform
--- /dev/null
+++ b/src/platform/internal/exchange.cpp
@@ -0,0 +1,93 @@
+#include "platform/internal/exchange.h"
+
+namespace tarragon::platform {
+
+namespace {
+
+/// Guards the process against a reply that never ends.
+constexpr std::size_t LongestReply = 64'000'000;
+
+using header_list = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+auto collect(const char *const Data, const std::size_t Size,
+             const std::size_t Count, void *const Sink) -> std::size_t {
+  auto &Body = *static_cast<std::string *>(Sink);
+  const std::size_t Length = Size * Count;
+  if (Body.size() + Length > LongestReply)
+    return 0;
+  Body.append(Data, Length);
+  return Length;
+}
+
+auto makeHeaders() -> header_list {
+  header_list Headers(nullptr, &curl_slist_free_all);
+  for (const char *const Line :
+       {"Expect:", "Content-Type: application/octet-stream"})
+    if (curl_slist *const Longer = curl_slist_append(Headers.get(), Line)) {
+      static_cast<void>(Headers.release());
+      Headers.reset(Longer);
+    }
+  return Headers;
+}
+
+auto setOptions(CURL *const Handle, const exchange_request &Request,
+                curl_slist *const Headers, std::string &Body) -> void {
+  curl_easy_setopt(Handle, CURLOPT_URL, Request.Url.c_str());
+  curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, Request.Method.c_str());
+  curl_easy_setopt(Handle, CURLOPT_HTTPHEADER, Headers);
+  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(Request.ConnectTimeout.count()));
+  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(Request.Timeout.count()));
+  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &collect);
+  curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Body);
+  if (!Request.Write)
+    return;
+  // On a kept connection that died libcurl would send the write once more.
+  curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, 1L);
+  if (Request.Method == "PUT") {
+    curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(Request.Body.size()));
+    curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Request.Body.c_str());
+  }
+}
+
+/// Whether no byte of the request can have reached the platform.
+auto neverConnected(CURL *const Handle, const CURLcode Code) -> bool {
+  if (Code == CURLE_COULDNT_CONNECT || Code == CURLE_URL_MALFORMAT ||
+      Code == CURLE_COULDNT_RESOLVE_HOST)
+    return true;
+  curl_off_t ConnectedAfter = 0;
+  curl_off_t PretransferAfter = 0;
+  curl_easy_getinfo(Handle, CURLINFO_CONNECT_TIME_T, &ConnectedAfter);
+  curl_easy_getinfo(Handle, CURLINFO_PRETRANSFER_TIME_T, &PretransferAfter);
+  return Code == CURLE_OPERATION_TIMEDOUT && ConnectedAfter == 0 &&
+         PretransferAfter == 0;
+}
+
+} // namespace
+
+auto runExchange(CURL *const Handle, const exchange_request &Request)
+    -> exchange_reply {
+  exchange_reply Reply;
+  const header_list Headers = makeHeaders();
+  setOptions(Handle, Request, Headers.get(), Reply.Body);
+  const CURLcode Code = curl_easy_perform(Handle);
+  if (Code != CURLE_OK) {
+    Reply.Error = curl_easy_strerror(Code);
+    Reply.State = neverConnected(Handle, Code) ? exchange_state::NotSent
+                                               : exchange_state::NoReply;
+    return Reply;
+  }
+  long Status = 0;
+  curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
+  Reply.Status = static_cast<int>(Status);
+  Reply.State = exchange_state::Replied;
+  return Reply;
+}
+
+} // namespace tarragon::platform
--- /dev/null
+++ b/src/platform/internal/exchange.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "global/types/time.h"
+#include "platform/internal/curlpool.h"
+
+#include <string>
+
+namespace tarragon::platform {
+
+/// One HTTP request to the platform.
+struct exchange_request {
+  std::string Method;
+  std::string Url;
+  std::string Body;
+  bool Write = false;
+  milliseconds ConnectTimeout;
+  milliseconds Timeout;
+};
+
+/// How far an exchange came.
+enum class exchange_state {
+  NotSent, ///< proven: no connection was made
+  NoReply, ///< sent in part or whole, but no whole reply came
+  Replied
+};
+
+struct exchange_reply {
+  exchange_state State = exchange_state::NotSent;
+  int Status = 0;
+  std::string Body;
+  std::string Error; ///< one phrase; empty when replied
+};
+
+/// Runs \p Request on \p Handle and waits for its end.
+auto runExchange(CURL *Handle, const exchange_request &Request)
+    -> exchange_reply;
+
+} // namespace tarragon::platform
--- /dev/null
+++ b/src/platform/platformclient.cpp
@@ -0,0 +1,234 @@
+#include "platform/platformclient.h"
+
+#include "platform/callbudget.h"
+#include "platform/circuit.h"
+#include "platform/internal/exchange.h"
+#include "platform/internal/platformjson.h"
+
+#include <mutex>
+
+namespace tarragon::platform {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int StatusTooLarge = 413;
+constexpr int StatusTooMany = 429;
+constexpr int FirstServerError = 500;
+
+auto clockNow() -> time_point { return std::chrono::steady_clock::now(); }
+
+/// What an exchange that brought no usable reply means for its caller.
+auto lost(const bool Write, const std::string &Why) -> failure {
+  if (Write)
+    return fail(result_code::ReplyLost,
+                "The platform's reply to a write was lost: " + Why);
+  return fail(result_code::PlatformUnavailable,
+              "The platform gave no usable reply: " + Why);
+}
+
+auto statusFailure(const bool Write, const int Status) -> failure {
+  const std::string Text = "status " + std::to_string(Status);
+  if (Status == StatusNotFound)
+    return fail(result_code::ObjectMissing, "The object doesn't exist");
+  if (Status == StatusConflict)
+    return fail(result_code::ObjectConflict,
+                "The object's version is not the expected one");
+  if (Status == StatusTooLarge)
+    return fail(result_code::BodyTooLarge, "The value is over the limit");
+  if (Status == StatusTooMany)
+    return fail(result_code::PlatformUnavailable,
+                "The platform limits the rate of calls (429)");
+  if (Status >= FirstServerError)
+    return lost(Write, Text);
+  return fail(result_code::Internal, "The platform refused a call: " + Text);
+}
+
+/// Whether the reply shows the platform at work, whatever it answered.
+auto isHealthy(const exchange_reply &Reply) -> bool {
+  return Reply.State == exchange_state::Replied &&
+         Reply.Status < FirstServerError && Reply.Status != StatusTooMany;
+}
+
+} // namespace
+
+/// Sends calls within budgets and the circuit, and counts them.
+class platform_client::http_calls {
+public:
+  http_calls(const address &Platform, const client_settings &Settings,
+             const std::uint64_t Seed)
+      : Base("http://" + Platform + "/v1/"), Settings(Settings),
+        Reads(Settings.ReadsPerSecond, Settings.ReadsPerSecond * Settings.Burst,
+              clockNow()),
+        Writes(Settings.WritesPerSecond,
+               Settings.WritesPerSecond * Settings.Burst, clockNow()),
+        Circuit(Settings.OpenAfter, Settings.OpenFor, Seed) {}
+
+  /// The body of a 200 reply, or why there is none.
+  auto call(call_kind Kind, const std::string &Path, std::string Body = {},
+            milliseconds ExtraWait = milliseconds{0}) -> result<std::string>;
+
+  auto counts() const -> call_counts {
+    const std::lock_guard Guard(Lock);
+    return Counts;
+  }
+
+private:
+  auto admit(call_kind Kind) -> result<void>;
+  auto record(call_kind Kind, const exchange_reply &Reply) -> void;
+
+  std::string Base;
+  client_settings Settings;
+  curl_pool Pool;
+  mutable std::mutex Lock; ///< a leaf: no other lock is taken under it
+  call_budget Reads;
+  call_budget Writes;
+  circuit Circuit;
+  call_counts Counts;
+};
+
+auto platform_client::http_calls::admit(const call_kind Kind) -> result<void> {
+  const std::lock_guard Guard(Lock);
+  const time_point Now = clockNow();
+  call_budget &Budget = isWrite(Kind) ? Writes : Reads;
+  if (!Budget.take(Now)) {
+    ++Counts.of(Kind).HeldBack;
+    return fail(result_code::PlatformUnavailable,
+                "The budget of platform calls is used up");
+  }
+  if (!Circuit.allow(Now)) {
+    ++Counts.of(Kind).HeldBack;
+    return fail(result_code::PlatformUnavailable,
+                "The platform failed lately; calls are held back");
+  }
+  ++Counts.of(Kind).Sent;
+  return succeed();
+}
+
+auto platform_client::http_calls::record(const call_kind Kind,
+                                         const exchange_reply &Reply) -> void {
+  const std::lock_guard Guard(Lock);
+  if (isHealthy(Reply)) {
+    Circuit.recordSuccess();
+    return;
+  }
+  ++Counts.of(Kind).Failed;
+  Circuit.recordFailure(clockNow());
+}
+
+auto platform_client::http_calls::call(const call_kind Kind,
+                                       const std::string &Path,
+                                       std::string Body,
+                                       const milliseconds ExtraWait)
+    -> result<std::string> {
+  const bool Write = isWrite(Kind);
+  if (auto Admitted = admit(Kind); !Admitted)
+    return Admitted.error();
+  auto Handle = Pool.take();
+  if (!Handle)
+    return fail(result_code::PlatformUnavailable, "No HTTP handle is free");
+  const char *const Method = Kind == call_kind::Put      ? "PUT"
+                             : Kind == call_kind::Remove ? "DELETE"
+                                                         : "GET";
+  auto Reply = runExchange(Handle.get(), {Method, Base + Path, std::move(Body),
+                                          Write, Settings.ConnectTimeout,
+                                          Settings.CallTimeout + ExtraWait});
+  Pool.giveBack(std::move(Handle));
+  record(Kind, Reply);
+  if (Reply.State == exchange_state::NotSent)
+    return fail(result_code::PlatformUnavailable,
+                "The platform can't be reached: " + Reply.Error);
+  if (Reply.State == exchange_state::NoReply)
+    return lost(Write, Reply.Error);
+  if (Reply.Status != StatusOk)
+    return statusFailure(Write, Reply.Status);
+  return std::move(Reply.Body);
+}
+
+platform_client::platform_client(const address &Platform,
+                                 const client_settings Settings,
+                                 const std::uint64_t Seed)
+    : Calls(std::make_unique<http_calls>(Platform, Settings, Seed)) {}
+
+platform_client::~platform_client() = default;
+
+auto platform_client::get(const std::string &Key) -> result<stored_object> {
+  auto Body = Calls->call(call_kind::Get, "objects/" + Key);
+  if (!Body)
+    return Body.error();
+  if (auto Object = readObject(Body.value()))
+    return std::move(*Object);
+  return lost(false, "unreadable body");
+}
+
+auto platform_client::put(const std::string &Key, const std::string &Value,
+                          const object_version Expected)
+    -> result<object_version> {
+  auto Body = Calls->call(
+      call_kind::Put,
+      "objects/" + Key + "?if_version=" + std::to_string(Expected), Value);
+  if (!Body)
+    return Body.error();
+  if (const auto Version = readVersion(Body.value()))
+    return *Version;
+  return lost(true, "unreadable body");
+}
+
+auto platform_client::remove(const std::string &Key,
+                             const object_version Expected) -> result<void> {
+  auto Body =
+      Calls->call(call_kind::Remove,
+                  "objects/" + Key + "?if_version=" + std::to_string(Expected));
+  if (!Body)
+    return Body.error();
+  return succeed();
+}
+
+auto platform_client::list(const std::string &Prefix)
+    -> result<std::vector<stored_object>> {
+  auto Body = Calls->call(call_kind::List, "list?prefix=" + Prefix);
+  if (!Body)
+    return Body.error();
+  if (auto Objects = readObjects(Body.value()))
+    return std::move(*Objects);
+  return lost(false, "unreadable body");
+}
+
+auto platform_client::watch(const std::string &Prefix,
+                            const std::uint64_t Revision,
+                            const milliseconds Wait) -> result<watch_reply> {
+  auto Body = Calls->call(call_kind::Watch,
+                          "watch?prefix=" + Prefix +
+                              "&after=" + std::to_string(Revision) +
+                              "&wait_ms=" + std::to_string(Wait.count()),
+                          {}, Wait);
+  if (!Body)
+    return Body.error();
+  if (auto Reply = readWatch(Body.value()))
+    return std::move(*Reply);
+  return lost(false, "unreadable body");
+}
+
+auto platform_client::instances() -> result<std::vector<instance>> {
+  auto Roster = instanceRoster();
+  if (!Roster)
+    return Roster.error();
+  return std::move(Roster.value().Instances);
+}
+
+auto platform_client::instanceRoster() -> result<roster> {
+  auto Body = Calls->call(call_kind::Instances, "instances");
+  if (!Body)
+    return Body.error();
+  if (auto Roster = readRoster(Body.value()))
+    return std::move(*Roster);
+  return lost(false, "unreadable body");
+}
+
+auto platform_client::callCounts() const -> call_counts {
+  return Calls->counts();
+}
+
+} // namespace tarragon::platform
--- /dev/null
+++ b/src/platform/types/roster.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "platform/types/targetstate.h"
+#include "world/types/instance.h"
+
+#include <vector>
+
+namespace tarragon::platform {
+
+/// The platform's lagging list of instances and targets.
+struct roster {
+  std::vector<instance> Instances; ///< Live or Leaving; incarnation 0
+  std::vector<target_state> Targets;
+};
+
+} // namespace tarragon::platform
--- /dev/null
+++ b/src/platform/types/targetstate.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "world/types/ids.h"
+
+namespace tarragon::platform {
+
+/// What the platform says of a target; lagging.
+struct target_state {
+  target_id Id;
+  bool Leaving = false;
+};
+
+} // namespace tarragon::platform
