Hedge, eject, share fairly and refuse early in the dispatcher

Cause: the first version queued by deadline only and knew no slow, failing or cold targets. Change: fair queueing between contracts with deadline order within each, refusal of what can't make its deadline, choice by own latency and load, hedges and probes from a token budget, ejection with exponential re-probe, slow start, pauses after shedding, and suspects one at a time. Late crashes are handed over by takeLateCrashes. A queueing model in virtual time checks it.

--- a/src/admission/groupdispatcher.h
+++ b/src/admission/groupdispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/types/attemptresult.h"
+#include "admission/types/crashreport.h"
 #include "admission/types/dispatchaction.h"
 #include "admission/types/dispatcherrole.h"
 #include "admission/types/targetsign.h"
@@ -8,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace tarragon::admission {
 
@@ -41,6 +43,10 @@
   auto onTimer(time_point Now) -> dispatch_actions;
   auto nextWake() const -> std::optional<time_point>;
 
+  /// Crashes that ended attempts whose subrequests were settled before; to be
+  /// recorded like those of settlements. Hands each over once.
+  auto takeLateCrashes() -> std::vector<crash_report>;
+
   /// Whether nothing is queued or in flight.
   auto idle() const -> bool;
 
--- a/src/admission/internal/attemptstate.h
+++ b/src/admission/internal/attemptstate.h
@@ -11,7 +11,9 @@
   request_number Request = 0;
   std::size_t Target = 0; ///< position in the target pool
   time_point StartedAt;
+  fingerprint Fingerprint = 0;
   bool Suspect = false;
+  bool Late = false;
   bool Cancelled = false;
   time_point GiveUpAt; ///< of a cancelled one: when its slot is freed
 };
--- a/src/admission/internal/dispatchercore.cpp
+++ b/src/admission/internal/dispatchercore.cpp
@@ -3,24 +3,22 @@
 #include "global/hash.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace tarragon::admission::internal {
 
 namespace {
 
-/// How long a cancelled attempt without a result keeps its slot.
-constexpr milliseconds CancelGrace{1000};
+constexpr std::size_t MostQueued = 4096;
 
 /// The upper half keeps dispatchers of one instance apart.
-auto firstCounter(const group_id &Group, const std::uint64_t Seed)
-    -> std::uint64_t {
+auto firstNumber(const group_id &Group, const std::uint64_t Seed)
+    -> attempt_number {
   return (hash64(Group, Seed) >> 33) << 32;
 }
 
-/// Whether \p Outcome says more about the request than \p Present does.
-auto outweighs(const attempt_outcome Outcome, const attempt_outcome Present)
-    -> bool {
-  return !provesNotRun(Outcome) || provesNotRun(Present);
+auto microsecondsOf(const time_point::duration Duration) -> microseconds {
+  return std::chrono::duration_cast<microseconds>(Duration);
 }
 
 } // namespace
@@ -30,89 +28,70 @@
                                  dispatcher_settings NewSettings,
                                  const dispatcher_role Role)
     : Settings(std::move(NewSettings)),
-      Pool(Service.Limits, Group, Settings.MostInstances, Role),
-      AttemptCounter(firstCounter(Group.Id, Settings.Seed)) {}
+      AttemptPrefix(Settings.Instance + "." +
+                    std::to_string(Settings.Incarnation) + "."),
+      Pool(Service.Limits, Group, Settings, Role),
+      LastAttempt(firstNumber(Group.Id, Settings.Seed)) {}
 
 auto dispatcher_core::submit(subrequest NewRequest, const time_point Now)
     -> void {
-  auto Key = std::make_pair(NewRequest.Root, NewRequest.Id);
-  const auto [Entry, New] = Known.emplace(std::move(Key), LastRequest + 1);
+  const auto [Entry, New] =
+      Known.try_emplace({NewRequest.Root, NewRequest.Id}, LastRequest + 1);
   if (!New)
     return;
   request_state &Request = Requests[++LastRequest];
   Request.Number = LastRequest;
   Request.SubmittedAt = Now;
+  Request.Stats = &Stats[NewRequest.Contract];
   Request.Request = std::move(NewRequest);
   Request.End.Id = Request.Request.Id;
   Request.End.ProvenNotRun = true;
   Request.Wake = Request.Request.Deadline;
   RequestTimers.emplace(Request.Wake, Request.Number);
-  if (!Pool.anyFor(Request)) {
-    settle(Request, Now);
+  if (Now >= Request.Request.Deadline || !Pool.anyFor(Request, Now)) {
+    giveUp(Request, Now);
     return;
   }
-  Queue.push(Request);
+  const microseconds Ahead = Queue.workAhead(Request);
+  const request_number Number = Request.Number;
+  enqueue(Request, Now);
+  fillSlots(Now);
+  const auto Left = Requests.find(Number);
+  if (Left == Requests.end() || !Left->second.Queued)
+    return;
+  const contract_stats &Known = *Request.Stats;
+  const auto Finish = Now + Ahead / Pool.slots() + Known.needed();
+  if (Known.known() && Finish > Request.Request.Deadline)
+    giveUp(Request, Now);
 }
 
-auto dispatcher_core::onAttemptDone(const attempt_result &Result,
-                                    const time_point Now) -> void {
-  const auto Found = Attempts.find(Result.Attempt);
-  if (Found == Attempts.end())
-    return;
-  const attempt_state Attempt = Found->second;
-  Attempts.erase(Found);
-  if (Attempt.Cancelled)
-    AttemptTimers.erase({Attempt.GiveUpAt, Result.Attempt});
-  Pool.onEnd(Attempt.Target);
-  if (Result.Outcome == attempt_outcome::Leaving)
-    Pool.at(Attempt.Target).Leaving = true;
-  const auto Owner = Requests.find(Attempt.Request);
-  if (Owner == Requests.end())
-    return;
-  request_state &Request = Owner->second;
-  --Request.InFlight;
-  Pool.learnHeld(Attempt.Target, Result.Held, Request.Request, Result.Outcome);
-  settlement &End = Request.End;
-  End.Target = Pool.at(Attempt.Target).Target.Id;
-  End.Held = Result.Held;
-  if (outweighs(Result.Outcome, End.Outcome))
-    End.Outcome = Result.Outcome;
-  if (!provesNotRun(Result.Outcome))
-    End.ProvenNotRun = false;
-  if (Result.Outcome == attempt_outcome::Crashed)
-    End.CrashedTargets.push_back(End.Target);
-  if (Result.Outcome == attempt_outcome::Answered) {
-    End.Version = Result.Version;
-    End.Shard = Result.Shard;
-    End.ShardCount = Result.ShardCount;
-    End.Items = Result.Items;
-    settle(Request, Now);
-    return;
-  }
-  if (provesNotRun(Result.Outcome) && Pool.anyFor(Request)) {
-    Queue.push(Request);
+/// Queues \p Request until shortly before its deadline.
+auto dispatcher_core::enqueue(request_state &Request, const time_point Now)
+    -> void {
+  Queue.push(Request);
+  const time_point Deadline = Request.Request.Deadline;
+  const microseconds Half = microsecondsOf(Deadline - Request.SubmittedAt) / 2;
+  const microseconds Needed = std::min(Half, Request.Stats->needed());
+  setWake(Request, std::max(Now + microseconds{1}, Deadline - Needed));
+  if (Queue.size() <= MostQueued)
     return;
-  }
-  if (Request.InFlight == 0)
-    settle(Request, Now);
+  const auto Surplus = Queue.surplus();
+  if (Surplus)
+    giveUp(Requests.at(*Surplus), Now);
 }
 
 auto dispatcher_core::cancel(const subrequest_id &Id, const instance_id &Root,
                              const time_point Now) -> void {
   const auto Found = Known.find({Root, Id});
-  if (Found == Known.end())
-    return;
-  request_state &Request = Requests.at(Found->second);
-  if (Request.InFlight > 0)
-    Request.End.Outcome = attempt_outcome::Expired;
-  settle(Request, Now);
+  if (Found != Known.end())
+    expire(Requests.at(Found->second), Now);
 }
 
 auto dispatcher_core::onTargetSign(const target_id &Target,
                                    const target_sign Sign, const time_point Now)
     -> void {
   Pool.onSign(Target, Sign);
-  settleUnservable(Now);
+  giveUpUnservable(Now);
 }
 
 auto dispatcher_core::setRole(const dispatcher_role Role) -> void {
@@ -124,21 +103,32 @@
                                   const int MostInstances, const time_point Now)
     -> void {
   Pool.reconfigure(Service.Limits, Group, MostInstances);
-  settleUnservable(Now);
+  giveUpUnservable(Now);
 }
 
 auto dispatcher_core::takeActions(const time_point Now) -> dispatch_actions {
   runTimers(Now);
   fillSlots(Now);
+  PoolWake.reset();
+  if (Queue.size() > 0)
+    PoolWake = Pool.nextChange(Now);
   return std::exchange(Actions, {});
 }
 
+auto dispatcher_core::takeLateCrashes() -> std::vector<crash_report> {
+  return std::exchange(LateCrashes, {});
+}
+
 auto dispatcher_core::nextWake() const -> std::optional<time_point> {
-  std::optional<time_point> Wake;
+  std::optional<time_point> Wake = PoolWake;
+  const auto Consider = [&](const time_point At) {
+    if (!Wake || At < *Wake)
+      Wake = At;
+  };
   if (!RequestTimers.empty())
-    Wake = RequestTimers.begin()->first;
-  if (!AttemptTimers.empty() && (!Wake || AttemptTimers.begin()->first < *Wake))
-    Wake = AttemptTimers.begin()->first;
+    Consider(RequestTimers.begin()->first);
+  if (!GiveUpTimers.empty())
+    Consider(GiveUpTimers.begin()->first);
   return Wake;
 }
 
@@ -146,98 +136,93 @@
   return Requests.empty() && Attempts.empty();
 }
 
-auto dispatcher_core::nextAttemptId() -> attempt_id {
-  return Settings.Instance + "." + std::to_string(Settings.Incarnation) + "." +
-         std::to_string(++AttemptCounter);
+auto dispatcher_core::attemptId(const attempt_number Number) const
+    -> attempt_id {
+  return AttemptPrefix + std::to_string(Number);
 }
 
-auto dispatcher_core::start(request_state &Request, const std::size_t Target,
-                            const time_point Now) -> void {
-  Queue.remove(Request);
-  attempt_id Id = nextAttemptId();
-  Attempts[Id] = {.Request = Request.Number,
-                  .Target = Target,
-                  .StartedAt = Now,
-                  .Suspect = Request.Request.Suspect};
-  Pool.onStart(Target);
-  Request.Tried.push_back(Target);
-  ++Request.InFlight;
-  ++Request.End.Attempts;
-  Actions.emplace_back(
-      start_attempt{std::move(Id), Pool.at(Target).Target, Request.Request});
+/// 0, which is no attempt, when \p Id is not of this dispatcher.
+auto dispatcher_core::attemptNumber(const attempt_id &Id) const
+    -> attempt_number {
+  attempt_number Number = 0;
+  if (!Id.starts_with(AttemptPrefix))
+    return 0;
+  const char *const End = Id.data() + Id.size();
+  const auto [Rest, Error] =
+      std::from_chars(Id.data() + AttemptPrefix.size(), End, Number);
+  return Error == std::errc{} && Rest == End ? Number : 0;
 }
 
-auto dispatcher_core::settle(request_state &Request, const time_point Now)
+auto dispatcher_core::setWake(request_state &Request, const time_point Wake)
     -> void {
-  Queue.remove(Request);
-  if (Request.InFlight > 0) {
-    cancelAttempts(Request, Now);
-    Request.End.ProvenNotRun = false;
-  }
-  RequestTimers.erase({Request.Wake, Request.Number});
-  const request_number Number = Request.Number;
-  Known.erase({Request.Request.Root, Request.Request.Id});
-  Actions.emplace_back(settle_subrequest{std::move(Request.Request.Root),
-                                         std::move(Request.End)});
-  Requests.erase(Number);
-}
-
-auto dispatcher_core::cancelAttempts(const request_state &Request,
-                                     const time_point Now) -> void {
-  for (auto &[Id, Attempt] : Attempts) {
-    if (Attempt.Request != Request.Number || Attempt.Cancelled)
-      continue;
-    Attempt.Cancelled = true;
-    Attempt.GiveUpAt = Now + CancelGrace;
-    AttemptTimers.emplace(Attempt.GiveUpAt, Id);
-    Actions.emplace_back(cancel_attempt{Id, Pool.at(Attempt.Target).Target});
-  }
+  if (Wake == Request.Wake)
+    return;
+  auto Timer = RequestTimers.extract({Request.Wake, Request.Number});
+  Request.Wake = Wake;
+  Timer.value().first = Wake;
+  RequestTimers.insert(std::move(Timer));
 }
 
-auto dispatcher_core::expire(request_state &Request, const time_point Now)
+auto dispatcher_core::fillSlots(const time_point Now) -> void {
+  if (Queue.size() == 0 || !Pool.anyFree(Now))
+    return;
+  Queue.offer(
+      [&](const request_number Number) { return startWaiting(Number, Now); });
+}
+
+auto dispatcher_core::startWaiting(const request_number Number,
+                                   const time_point Now) -> bool {
+  request_state &Request = Requests.at(Number);
+  const subrequest &Sent = Request.Request;
+  if (Sent.Suspect && SuspectsInFlight > 0)
+    return false;
+  const auto Target = Pool.choose(Request, Queue.size(), Now);
+  if (!Target)
+    return false;
+  Queue.remove(Request);
+  Queue.charge(Request);
+  if (Request.End.Attempts == 0)
+    Budget.earn(Sent.HedgeBudget);
+  start(Request, *Target, Now);
+  const bool Known = Request.Stats->known();
+  const auto Delay = Known ? Request.Stats->lateAfter()
+                           : microsecondsOf(Sent.Deadline - Now) / 3;
+  setWake(Request, std::min(Sent.Deadline, Now + Delay));
+  probe(Request, Now);
+  return true;
+}
+
+/// Tries a doubtful target beside the chosen one, so that no caller waits for
+/// it.
+auto dispatcher_core::probe(request_state &Request, const time_point Now)
     -> void {
-  if (Request.InFlight > 0 &&
-      outweighs(attempt_outcome::Expired, Request.End.Outcome) &&
-      Request.End.CrashedTargets.empty())
-    Request.End.Outcome = attempt_outcome::Expired;
-  settle(Request, Now);
-}
-
-auto dispatcher_core::runTimers(const time_point Now) -> void {
-  while (!RequestTimers.empty() && RequestTimers.begin()->first <= Now)
-    expire(Requests.at(RequestTimers.begin()->second), Now);
-  while (!AttemptTimers.empty() && AttemptTimers.begin()->first <= Now) {
-    const attempt_id Id = AttemptTimers.begin()->second;
-    AttemptTimers.erase(AttemptTimers.begin());
-    Pool.onEnd(Attempts.at(Id).Target);
-    Attempts.erase(Id);
-  }
+  if (!mayHedge(Request) || Budget.empty())
+    return;
+  const auto Target = Pool.chooseProbe(Request, Now);
+  if (Target && Budget.take())
+    start(Request, *Target, Now);
 }
 
-auto dispatcher_core::fillSlots(const time_point Now) -> void {
-  std::vector<request_number> Waiting;
-  for (const auto &[Deadline, Number] : Queue)
-    Waiting.push_back(Number);
-  for (const request_number Number : Waiting) {
-    request_state &Request = Requests.at(Number);
-    const auto Target = Pool.choose(Request, Now);
-    if (Target)
-      start(Request, *Target, Now);
-  }
+auto dispatcher_core::mayHedge(const request_state &Request) const -> bool {
+  const subrequest &Sent = Request.Request;
+  return Sent.Repeatable && !Sent.Suspect && Sent.HedgeBudget > 0;
 }
 
-auto dispatcher_core::settleUnservable(const time_point Now) -> void {
-  std::vector<request_number> Waiting;
-  for (const auto &[Deadline, Number] : Queue)
-    Waiting.push_back(Number);
-  for (const request_number Number : Waiting) {
-    request_state &Request = Requests.at(Number);
-    if (Pool.anyFor(Request))
-      continue;
-    Queue.remove(Request);
-    if (Request.InFlight == 0)
-      settle(Request, Now);
-  }
+auto dispatcher_core::start(request_state &Request, const std::size_t Target,
+                            const time_point Now) -> void {
+  const attempt_number Number = ++LastAttempt;
+  const subrequest &Sent = Request.Request;
+  Attempts[Number] = {.Request = Request.Number,
+                      .Target = Target,
+                      .StartedAt = Now,
+                      .Fingerprint = Sent.Fingerprint,
+                      .Suspect = Sent.Suspect};
+  Pool.onStart(Target, Sent.Suspect);
+  SuspectsInFlight += Sent.Suspect ? 1 : 0;
+  Request.InFlight.push_back(Number);
+  ++Request.End.Attempts;
+  Actions.emplace_back(
+      start_attempt{attemptId(Number), Pool.targetAt(Target), Sent});
 }
 
 } // namespace tarragon::admission::internal
--- a/src/admission/internal/dispatchercore.h
+++ b/src/admission/internal/dispatchercore.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "admission/internal/attemptstate.h"
-#include "admission/internal/requestqueue.h"
+#include "admission/internal/fairqueue.h"
+#include "admission/internal/hedgebudget.h"
+#include "admission/internal/requestkey.h"
 #include "admission/internal/targetpool.h"
 #include "admission/types/attemptresult.h"
+#include "admission/types/crashreport.h"
 #include "admission/types/dispatchaction.h"
 
-#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -31,30 +33,61 @@
 
   /// Runs due timers, fills free slots and hands over the actions so far.
   auto takeActions(time_point Now) -> dispatch_actions;
+  auto takeLateCrashes() -> std::vector<crash_report>;
   auto nextWake() const -> std::optional<time_point>;
   auto idle() const -> bool;
 
 private:
-  auto nextAttemptId() -> attempt_id;
+  auto attemptId(attempt_number Number) const -> attempt_id;
+  auto attemptNumber(const attempt_id &Id) const -> attempt_number;
+  auto setWake(request_state &Request, time_point Wake) -> void;
+
+  auto enqueue(request_state &Request, time_point Now) -> void;
+  auto fillSlots(time_point Now) -> void;
+  auto startWaiting(request_number Number, time_point Now) -> bool;
   auto start(request_state &Request, std::size_t Target, time_point Now)
       -> void;
+
+  auto probe(request_state &Request, time_point Now) -> void;
+  auto mayHedge(const request_state &Request) const -> bool;
+
+  auto releaseSlot(attempt_number Number, const attempt_state &Attempt) -> void;
+  auto learn(const attempt_state &Attempt, const request_state *Request,
+             const attempt_result &Result, time_point Now) -> void;
+  auto takeResult(request_state &Request, const attempt_state &Attempt,
+                  const attempt_result &Result, time_point Now) -> void;
+  auto mayRetry(request_state &Request, attempt_outcome Outcome, time_point Now)
+      -> bool;
+  auto noteLateCrash(const attempt_state &Attempt, attempt_outcome Outcome)
+      -> void;
+
+  auto runTimers(time_point Now) -> void;
+  auto onRequestTimer(request_state &Request, time_point Now) -> void;
+  auto onLate(request_state &Request, time_point Now) -> void;
+  auto hedge(request_state &Request, std::size_t Present, time_point Now)
+      -> bool;
+  auto expire(request_state &Request, time_point Now) -> void;
+  auto giveUp(request_state &Request, time_point Now) -> void;
+  auto giveUpUnservable(time_point Now) -> void;
   auto settle(request_state &Request, time_point Now) -> void;
   auto cancelAttempts(const request_state &Request, time_point Now) -> void;
-  auto expire(request_state &Request, time_point Now) -> void;
-  auto runTimers(time_point Now) -> void;
-  auto fillSlots(time_point Now) -> void;
-  auto settleUnservable(time_point Now) -> void;
 
   dispatcher_settings Settings;
+  std::string AttemptPrefix;
   target_pool Pool;
-  request_queue Queue;
-  std::uint64_t AttemptCounter;
+  fair_queue Queue;
+  hedge_budget Budget;
+  attempt_number LastAttempt;
   request_number LastRequest = 0;
+  int SuspectsInFlight = 0;
+  std::unordered_map<contract_id, contract_stats> Stats;
   std::unordered_map<request_number, request_state> Requests;
-  std::map<std::pair<instance_id, subrequest_id>, request_number> Known;
-  std::unordered_map<attempt_id, attempt_state> Attempts;
+  std::unordered_map<request_key, request_number, request_key_hash> Known;
+  std::unordered_map<attempt_number, attempt_state> Attempts;
   std::set<std::pair<time_point, request_number>> RequestTimers;
-  std::set<std::pair<time_point, attempt_id>> AttemptTimers;
+  std::set<std::pair<time_point, attempt_number>> GiveUpTimers;
+  std::optional<time_point> PoolWake; ///< when a target may become free
+  std::vector<crash_report> LateCrashes;
   dispatch_actions Actions;
 };
 
--- /dev/null
+++ b/src/admission/internal/fairqueue.cpp
@@ -0,0 +1,120 @@
+#include "admission/internal/fairqueue.h"
+
+#include <algorithm>
+
+namespace tarragon::admission::internal {
+
+auto fair_queue::push(request_state &Request) -> void {
+  flow &Flow = Flows[Request.Request.Contract];
+  Flow.Stats = Request.Stats;
+  if (Flow.Size == 0)
+    Flow.Start = std::max(Flow.Start, VirtualTime);
+  Flow.Classes[queue_class::of(Request)].emplace(Request.Request.Deadline,
+                                                 Request.Number);
+  ++Flow.Size;
+  ++Size;
+  Request.Queued = true;
+}
+
+auto fair_queue::remove(request_state &Request) -> void {
+  if (!Request.Queued)
+    return;
+  Request.Queued = false;
+  flow &Flow = Flows.at(Request.Request.Contract);
+  const auto Class = Flow.Classes.find(queue_class::of(Request));
+  Class->second.erase({Request.Request.Deadline, Request.Number});
+  if (Class->second.empty())
+    Flow.Classes.erase(Class);
+  --Flow.Size;
+  --Size;
+}
+
+auto fair_queue::charge(const request_state &Request) -> void {
+  flow &Flow = Flows[Request.Request.Contract];
+  VirtualTime = std::max(VirtualTime, Flow.Start);
+  Flow.Start += static_cast<double>(Request.Stats->mean().count());
+}
+
+auto fair_queue::offer(const std::function<bool(request_number)> &Take)
+    -> void {
+  bool Taken = Size > 0;
+  while (Taken) {
+    std::vector<flow *> Order;
+    for (auto &[Contract, Flow] : Flows)
+      if (Flow.Size > 0)
+        Order.push_back(&Flow);
+    std::sort(Order.begin(), Order.end(),
+              [](const flow *A, const flow *B) { return A->Start < B->Start; });
+    Taken = std::any_of(Order.begin(), Order.end(),
+                        [&](flow *Flow) { return offerFrom(*Flow, Take); });
+  }
+}
+
+auto fair_queue::offerFrom(flow &Flow,
+                           const std::function<bool(request_number)> &Take)
+    -> bool {
+  if (Flow.Classes.size() == 1)
+    return Take(Flow.Classes.begin()->second.begin()->second);
+  entries Heads;
+  for (const auto &[Class, Entries] : Flow.Classes)
+    Heads.insert(*Entries.begin());
+  return std::any_of(Heads.begin(), Heads.end(),
+                     [&](const entry &Head) { return Take(Head.second); });
+}
+
+auto fair_queue::sizeBefore(const flow &Flow, const time_point Deadline)
+    -> double {
+  double Before = 0;
+  for (const auto &[Class, Entries] : Flow.Classes) {
+    const time_point First = Entries.begin()->first;
+    const time_point Last = Entries.rbegin()->first;
+    if (Deadline <= First)
+      continue;
+    const auto Count = static_cast<double>(Entries.size());
+    if (Deadline >= Last)
+      Before += Count;
+    else
+      Before += Count * std::chrono::duration<double>(Deadline - First) /
+                std::chrono::duration<double>(Last - First);
+  }
+  return Before;
+}
+
+auto fair_queue::workAhead(const request_state &Request) const -> microseconds {
+  const auto Mean = static_cast<double>(Request.Stats->mean().count());
+  double Own = Mean;
+  const auto OwnFlow = Flows.find(Request.Request.Contract);
+  if (OwnFlow != Flows.end())
+    Own += sizeBefore(OwnFlow->second, Request.Request.Deadline) * Mean;
+  double Work = Own;
+  for (const auto &[Contract, Flow] : Flows)
+    if (Flow.Size > 0 && Contract != Request.Request.Contract)
+      Work +=
+          std::min(Own, static_cast<double>(Flow.Size) *
+                            static_cast<double>(Flow.Stats->mean().count()));
+  return microseconds{static_cast<microseconds::rep>(Work)};
+}
+
+auto fair_queue::surplus() const -> std::optional<request_number> {
+  const flow *Longest = nullptr;
+  for (const auto &[Contract, Flow] : Flows)
+    if (Longest == nullptr || Flow.Size > Longest->Size)
+      Longest = &Flow;
+  if (Longest == nullptr || Longest->Size == 0)
+    return std::nullopt;
+  entry Latest = *Longest->Classes.begin()->second.rbegin();
+  for (const auto &[Class, Entries] : Longest->Classes)
+    Latest = std::max(Latest, *Entries.rbegin());
+  return Latest.second;
+}
+
+auto fair_queue::numbers() const -> std::vector<request_number> {
+  std::vector<request_number> Numbers;
+  for (const auto &[Contract, Flow] : Flows)
+    for (const auto &[Class, Entries] : Flow.Classes)
+      for (const auto &[Deadline, Number] : Entries)
+        Numbers.push_back(Number);
+  return Numbers;
+}
+
+} // namespace tarragon::admission::internal
--- /dev/null
+++ b/src/admission/internal/queueclass.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "admission/internal/requeststate.h"
+
+#include <tuple>
+#include <vector>
+
+namespace tarragon::admission::internal {
+
+/// What decides which targets a request may use: when one request of a class
+/// finds no target, no other of it does.
+struct queue_class {
+  index_version Version = 0;
+  std::size_t ShardCount = 0;
+  bool Suspect = false;
+  bool Repeatable = true;
+  std::vector<std::size_t> Tried;
+
+  static auto of(const request_state &Request) -> queue_class {
+    const subrequest &Sent = Request.Request;
+    return {Sent.Version, Sent.ShardCount, Sent.Suspect, Sent.Repeatable,
+            Request.Tried};
+  }
+
+  auto operator<(const queue_class &Other) const -> bool {
+    return tie() < Other.tie();
+  }
+
+private:
+  auto tie() const
+      -> std::tuple<const index_version &, const std::size_t &, const bool &,
+                    const bool &, const std::vector<std::size_t> &> {
+    return std::tie(Version, ShardCount, Suspect, Repeatable, Tried);
+  }
+};
+
+} // namespace tarragon::admission::internal
--- a/src/admission/internal/targetstate.h
+++ b/src/admission/internal/targetstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "world/types/heldversion.h"
+#include "admission/internal/lackedversion.h"
+#include "admission/internal/targethealth.h"
 #include "world/types/target.h"
 
 #include <vector>
@@ -13,7 +14,20 @@
   bool Listed = true; ///< in the configuration in force
   bool Leaving = false;
   int InFlight = 0;
+  int SuspectsInFlight = 0;
   std::vector<held_version> Held; ///< empty when not told
+  std::vector<lacked_version> Lacks;
+  target_health Health;
+
+  microseconds Latency{0}; ///< moving average; 0 before the first answer
+  time_point LatencyAt;    ///< of its last sample
+  double LateShare = 0;    ///< moving average of attempts that were late
+  time_point ProbedAt;     ///< when it last got a probe for being slow
+
+  double ShedLimit = 1e9; ///< attempts in flight it seems to take from here
+  int ShedsInARow = 0;
+  time_point ShedAt;
+  time_point PausedUntil; ///< after shedding
 };
 
 } // namespace tarragon::admission::internal
--- /dev/null
+++ b/src/admission/tests/queueingmodel.cpp
@@ -0,0 +1,190 @@
+#include "queueingmodel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragon::admission {
+
+namespace {
+
+constexpr double Sigma = 0.6;
+constexpr int TargetsPerGroup = 3;
+
+auto groupOf(const int Group) -> replica_group {
+  replica_group Made{.Id = "petals/" + std::to_string(Group)};
+  for (int Target = 0; Target < TargetsPerGroup; ++Target) {
+    const std::string Letter(1, static_cast<char>('a' + Target));
+    Made.Targets.push_back(
+        {Letter + std::to_string(Group), "127.0.0.1:1", Letter});
+  }
+  return Made;
+}
+
+} // namespace
+
+queueing_model::queueing_model(const queueing_plan &Plan)
+    : Plan(Plan), Random(Plan.Seed),
+      Service(std::log(Plan.MeanService.count()) - Sigma * Sigma / 2, Sigma),
+      Gap(Plan.Load * TargetsPerGroup * Plan.Slots /
+          static_cast<double>(Plan.MeanService.count())) {
+  service Described{
+      .Id = "petals",
+      .Limits = {.Slots = Plan.Slots, .Connections = Plan.Connections}};
+  const int PerGroup = Plan.Owned ? 1 : Plan.Instances;
+  for (int Group = 0; Group < Plan.Groups; ++Group)
+    for (int Copy = 0; Copy < PerGroup; ++Copy) {
+      const int Instance = Plan.Owned ? Group % Plan.Instances : Copy;
+      const dispatcher_settings Settings{
+          .Instance = "e" + std::to_string(Instance),
+          .Domain = std::string(1, static_cast<char>('a' + Instance % 3)),
+          .Seed = Plan.Seed};
+      Dispatchers.push_back(std::make_unique<group_dispatcher>(
+          Described, groupOf(Group), Settings,
+          Plan.Owned ? dispatcher_role::Owner : dispatcher_role::Guest));
+    }
+  Wakes.resize(Dispatchers.size());
+}
+
+auto queueing_model::at(const time_point Moment, std::function<void()> Run)
+    -> void {
+  Events.push({Moment, ++Order, std::move(Run)});
+}
+
+auto queueing_model::run() -> queueing_figures {
+  ask();
+  const time_point Start = Now;
+  time_point LastAsked = Now;
+  while (!Events.empty()) {
+    const event Next = Events.top();
+    Events.pop();
+    Now = Next.At;
+    Next.Run();
+    if (Asked < Plan.Queries)
+      LastAsked = Now;
+  }
+  std::sort(Latencies.begin(), Latencies.end());
+  const auto Quantile = [&](const double Share) {
+    const auto Rank = static_cast<std::size_t>(
+        Share * static_cast<double>(Latencies.size() - 1));
+    return Latencies.empty()
+               ? milliseconds{0}
+               : std::chrono::round<milliseconds>(Latencies[Rank]);
+  };
+  const double Seconds =
+      std::chrono::duration<double>(LastAsked - Start).count();
+  const double Capacity = 1e6 * Plan.Groups * TargetsPerGroup * Plan.Slots /
+                          static_cast<double>(Plan.MeanService.count());
+  return {.Median = Quantile(0.5),
+          .Tail = Quantile(0.99),
+          .Whole = static_cast<double>(Latencies.size()) / Plan.Queries,
+          .Goodput = Answers / Seconds / Capacity,
+          .Refused = Sheds / Attempts,
+          .Extra = (Attempts - Firsts) / Firsts,
+          .SlowShare = ToFirst / Attempts};
+}
+
+auto queueing_model::ask() -> void {
+  const auto Number = static_cast<std::uint64_t>(++Asked);
+  const int Root = static_cast<int>(Random() % Plan.Instances);
+  Queries[Number] = {Now, Plan.Groups, true};
+  for (int Group = 0; Group < Plan.Groups; ++Group) {
+    subrequest Request{.Id = {Number, static_cast<std::uint32_t>(Group), 0},
+                       .Root = "e" + std::to_string(Root),
+                       .Contract = "search",
+                       .Version = 1,
+                       .Deadline = Now + Plan.Deadline,
+                       .HedgeBudget = Plan.HedgeBudget};
+    const bool Away = Plan.Owned && Group % Plan.Instances != Root;
+    const int Dispatcher = Plan.Owned ? Group : Group * Plan.Instances + Root;
+    at(Now + (Away ? Plan.Hop : microseconds{0}),
+       [this, Dispatcher, Request] { submit(Dispatcher, Request); });
+  }
+  if (Asked < Plan.Queries)
+    at(Now + microseconds{static_cast<int>(Gap(Random))}, [this] { ask(); });
+}
+
+auto queueing_model::submit(const int Dispatcher, subrequest Request) -> void {
+  apply(Dispatcher, Dispatchers[Dispatcher]->submit(std::move(Request), Now));
+}
+
+auto queueing_model::apply(const int Dispatcher, dispatch_actions Actions)
+    -> void {
+  for (const dispatch_action &Action : Actions) {
+    if (const auto *Start = std::get_if<start_attempt>(&Action)) {
+      ++Attempts;
+      ToFirst += Start->Target.Domain == "a" ? 1 : 0;
+      at(Now + Plan.Wire,
+         [this, Dispatcher, Start = *Start] { begin(Dispatcher, Start); });
+    } else if (const auto *Cancel = std::get_if<cancel_attempt>(&Action)) {
+      at(Now + Plan.Wire, [this, Dispatcher, Cancel = *Cancel] {
+        finish(Dispatcher, Cancel.Target.Id, Cancel.Attempt,
+               attempt_outcome::Expired);
+      });
+    } else if (const auto *Settle = std::get_if<settle_subrequest>(&Action)) {
+      const bool Away =
+          Plan.Owned &&
+          Settle->Root != "e" + std::to_string(Dispatcher % Plan.Instances);
+      at(Now + (Away ? Plan.Hop : microseconds{0}),
+         [this, Settled = Settle->Settlement] { settle(Settled); });
+    }
+  }
+  const auto Wake = Dispatchers[Dispatcher]->nextWake();
+  if (!Wake || (Wakes[Dispatcher] > Now && Wakes[Dispatcher] <= *Wake))
+    return;
+  Wakes[Dispatcher] = std::max(*Wake, Now + microseconds{1});
+  at(Wakes[Dispatcher], [this, Dispatcher] {
+    apply(Dispatcher, Dispatchers[Dispatcher]->onTimer(Now));
+  });
+}
+
+auto queueing_model::begin(const int Dispatcher, const start_attempt &Start)
+    -> void {
+  model_target &Target = Targets[Start.Target.Id];
+  if (Target.Busy >= Plan.Slots) {
+    ++Sheds;
+    at(Now + Plan.Wire, [this, Dispatcher, Id = Start.Attempt] {
+      apply(Dispatcher,
+            Dispatchers[Dispatcher]->onAttemptDone(
+                {.Attempt = Id, .Outcome = attempt_outcome::Shed}, Now));
+    });
+    return;
+  }
+  ++Target.Busy;
+  Target.Running[Start.Attempt] = Dispatcher;
+  const double Factor = Start.Target.Domain == "a" ? Plan.SlowFactor : 1;
+  const microseconds Takes{static_cast<int>(Service(Random) * Factor)};
+  at(Now + Takes,
+     [this, Dispatcher, Id = Start.Attempt, Where = Start.Target.Id] {
+       finish(Dispatcher, Where, Id, attempt_outcome::Answered);
+     });
+}
+
+auto queueing_model::finish(const int Dispatcher, const target_id &Target,
+                            const attempt_id &Id, const attempt_outcome Outcome)
+    -> void {
+  model_target &Place = Targets[Target];
+  if (Place.Running.erase(Id) == 0)
+    return;
+  --Place.Busy;
+  at(Now + Plan.Wire, [this, Dispatcher, Id, Outcome] {
+    apply(Dispatcher, Dispatchers[Dispatcher]->onAttemptDone(
+                          {.Attempt = Id, .Outcome = Outcome}, Now));
+  });
+}
+
+auto queueing_model::settle(const settlement &Settlement) -> void {
+  Firsts += Settlement.Attempts > 0 ? 1 : 0;
+  query &Query = Queries[Settlement.Id.Query];
+  if (Settlement.Outcome != attempt_outcome::Answered)
+    Query.Whole = false;
+  else if (Asked < Plan.Queries)
+    ++Answers;
+  if (--Query.Open > 0)
+    return;
+  if (Query.Whole)
+    Latencies.push_back(
+        std::chrono::duration_cast<microseconds>(Now - Query.AskedAt));
+  Queries.erase(Settlement.Id.Query);
+}
+
+} // namespace tarragon::admission
