--- a/src/once/ticketledger.cpp
+++ b/src/once/ticketledger.cpp
@@ -32,6 +32,10 @@
                  "what became of the ticket is not known any more");
 }
 
+auto neverIssued() -> replay_answer {
+  return refusal(result_code::MalformedTicket, "no such ticket was issued");
+}
+
 auto mismatch() -> replay_answer {
   return refusal(result_code::TicketMismatch,
                  "the ticket was used for another request");
@@ -103,6 +107,8 @@
     return refusal(result_code::NotRunTicketRetired,
                    "the ticket's instance left without running it");
   }
+  if (Found->second.Ticket != Ticket)
+    return neverIssued();
   if (Found->second.Fingerprint != Fingerprint)
     return mismatch();
   return replay_answer{Found->second.Answer};
@@ -112,11 +118,11 @@
                              const fingerprint Fingerprint,
                              const time_point Now) -> ledger_verdict {
   if (Ticket.Number == 0 || Ticket.Number > LastNumber)
-    return refusal(result_code::MalformedTicket, "no such ticket was issued");
+    return neverIssued();
   if (Ticket.Number < FirstKept)
     return forgotten();
   if (!wasIssued(Ticket))
-    return refusal(result_code::MalformedTicket, "no such ticket was issued");
+    return neverIssued();
 
   const auto Found = Records.find(Ticket.Number);
   if (Found == Records.end())
--- a/src/query/internal/answercode.cpp
+++ b/src/query/internal/answercode.cpp
@@ -73,4 +73,11 @@
   return {result_code::Partial, "some shards are missing"};
 }
 
+auto allLackVersion(const std::vector<query_part> &Parts) -> bool {
+  return std::all_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
+    return Part.State == part_state::Failed &&
+           Part.Reason == attempt_outcome::WrongVersion;
+  });
+}
+
 } // namespace tarragon::query
--- a/src/query/internal/answercode.h
+++ b/src/query/internal/answercode.h
@@ -23,4 +23,7 @@
                 const coverage &Coverage, bool EarlierMayHaveRun)
     -> answer_code;
 
+/// Whether every part failed because no target holds the version.
+auto allLackVersion(const std::vector<query_part> &Parts) -> bool;
+
 } // namespace tarragon::query
--- a/src/query/internal/serviceview.cpp
+++ b/src/query/internal/serviceview.cpp
@@ -5,13 +5,25 @@
 
 namespace tarragon::query {
 
-service_view::service_view(const version_table &Table, const service &Service) {
-  if (const auto Found = Table.Hints.find(Service.Index);
-      Found != Table.Hints.end())
-    if (const auto Count = Found->second.ShardCounts.find(Service.Id);
-        Count != Found->second.ShardCounts.end())
-      Hint = held_version{Found->second.Version, Count->second};
+namespace {
+
+/// Whether what a target of the same service said shows \p Hint to be wrong
+/// or out of date.
+auto belies(const std::vector<held_version> &Held, const held_version &Hint)
+    -> bool {
+  bool AnyNewer = false;
+  for (const held_version &Said : Held) {
+    if (Said.Version == Hint.Version)
+      return Said.ShardCount != Hint.ShardCount;
+    AnyNewer = AnyNewer || Said.Version > Hint.Version;
+  }
+  return AnyNewer;
+}
+
+} // namespace
 
+service_view::service_view(const version_table &Table, const service &Service) {
+  takeHint(Table, Service);
   for (const replica_group &Group : Service.Groups) {
     const bool AnyFresh = std::any_of(
         Group.Targets.begin(), Group.Targets.end(), [&](const target &Target) {
@@ -26,6 +38,24 @@
   }
 }
 
+auto service_view::takeHint(const version_table &Table, const service &Service)
+    -> void {
+  const auto Found = Table.Hints.find(Service.Index);
+  if (Found == Table.Hints.end())
+    return;
+  const auto Count = Found->second.ShardCounts.find(Service.Id);
+  if (Count == Found->second.ShardCounts.end())
+    return;
+  const held_version Told{Found->second.Version, Count->second};
+  for (const replica_group &Group : Service.Groups)
+    for (const target &Target : Group.Targets) {
+      const auto Spoke = Table.Said.find(Target.Id);
+      if (Spoke != Table.Said.end() && belies(Spoke->second.Held, Told))
+        return;
+    }
+  Hint = Told;
+}
+
 auto service_view::addTarget(group_view &Group, const version_table &Table,
                              const target_id &Target, const bool SkipStale)
     -> void {
--- a/src/query/internal/serviceview.h
+++ b/src/query/internal/serviceview.h
@@ -36,6 +36,7 @@
     bool AnySilent = false;   ///< a target said nothing
   };
 
+  auto takeHint(const version_table &Table, const service &Service) -> void;
   auto addTarget(group_view &Group, const version_table &Table,
                  const target_id &Target, bool SkipStale) -> void;
   auto countsOf(index_version Version) const -> std::set<std::size_t>;
--- a/src/query/scatterquery.cpp
+++ b/src/query/scatterquery.cpp
@@ -1,13 +1,13 @@
 #include "query/scatterquery.h"
 
-#include "global/hash.h"
 #include "query/internal/answercode.h"
 #include "query/internal/answermerge.h"
 #include "query/internal/coveragecount.h"
+#include "query/internal/queryplan.h"
+#include "query/internal/settlementcheck.h"
 #include "query/versiontable.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace tarragon::query {
 
@@ -17,6 +17,10 @@
 constexpr milliseconds MostReturnMargin{5};
 constexpr int ReturnMarginShare = 20;
 
+/// A query that pinned a likely snapshot waits this share of its deadline for
+/// every target's word before it restarts.
+constexpr int LearnShare = 4;
+
 /// A second crashed target makes the request itself the likely cause.
 constexpr std::size_t MostCrashedToAskAgain = 1;
 
@@ -24,43 +28,6 @@
   return std::min(MostReturnMargin, Deadline / ReturnMarginShare);
 }
 
-auto hasBadScore(const std::vector<item> &Items) -> bool {
-  return std::any_of(Items.begin(), Items.end(),
-                     [](const item &Item) { return std::isnan(Item.Score); });
-}
-
-/// The outcome, or Corrupt for an answer that isn't the one asked for.
-auto checkedOutcome(const settlement &Settlement, const query_part &Part,
-                    const index_version Version) -> attempt_outcome {
-  if (Settlement.Outcome != attempt_outcome::Answered)
-    return Settlement.Outcome;
-  const bool Matches = Settlement.Version == Version &&
-                       Settlement.Shard == Part.Shard &&
-                       Settlement.ShardCount == Part.ShardCount;
-  if (!Matches || hasBadScore(Settlement.Items))
-    return attempt_outcome::Corrupt;
-  return attempt_outcome::Answered;
-}
-
-/// The settlement's word that nothing ran, unless its outcome belies it.
-auto provenNotRun(const settlement &Settlement) -> bool {
-  switch (Settlement.Outcome) {
-  case attempt_outcome::Answered:
-  case attempt_outcome::Crashed:
-  case attempt_outcome::Corrupt:
-  case attempt_outcome::Refused:
-    return false;
-  case attempt_outcome::WrongVersion:
-  case attempt_outcome::Shed:
-  case attempt_outcome::NotSent:
-  case attempt_outcome::Leaving:
-  case attempt_outcome::Expired:
-  case attempt_outcome::NotRun:
-    return Settlement.ProvenNotRun;
-  }
-  return false;
-}
-
 } // namespace
 
 scatter_query::scatter_query(const std::uint64_t Number, instance_id Root,
@@ -91,12 +58,12 @@
   if (!Pinned)
     return refuse(result_code::NoCommonSnapshot,
                   "no index version can be served by every shard");
-  return beginAt(std::move(*Pinned));
+  RestartsLeft = Pinned->Likely ? 2 : 1;
+  return beginAt(std::move(*Pinned), Now);
 }
 
 auto scatter_query::continueAt(const version_table &Versions,
                                const time_point Now) -> query_actions {
-  static_cast<void>(Now);
   Token = parseToken(*Request.Continuation, *Contract, Request);
   if (!Token)
     return refuse(result_code::MalformedToken, "the token isn't of this query");
@@ -105,15 +72,19 @@
   const bool Changed = Present && *Present != Token->Snapshot;
   if (Changed || Versions.gone(*Deployment, *Contract, Version))
     return refuse(result_code::SnapshotGone, "the token's snapshot is gone");
-  return beginAt(Token->Snapshot);
+  return beginAt(Token->Snapshot, Now);
 }
 
-auto scatter_query::beginAt(pinned_snapshot Pinned) -> query_actions {
+auto scatter_query::beginAt(pinned_snapshot Pinned, const time_point Now)
+    -> query_actions {
+  LearnBefore = Now + Contract->Deadline / LearnShare;
+  Next.reset();
   std::uint32_t FirstTry = 0;
   for (const query_part &Part : Parts)
     FirstTry = std::max(FirstTry, Part.Try + 1);
   Snapshot = std::move(Pinned);
-  if (!buildParts(FirstTry))
+  Parts = planParts(*Deployment, *Contract, Request.Key, Snapshot, FirstTry);
+  if (Parts.empty())
     return refuse(result_code::NoCommonSnapshot, "a service isn't deployed");
   query_actions Actions;
   for (std::uint32_t Index = 0; Index < Parts.size(); ++Index)
@@ -121,37 +92,6 @@
   return Actions;
 }
 
-auto scatter_query::buildParts(const std::uint32_t FirstTry) -> bool {
-  Parts.clear();
-  for (const service_id &Id : Contract->Services) {
-    const service *const Service = Deployment->findService(Id);
-    if (Service == nullptr || Service->Groups.empty())
-      return false;
-    addServiceParts(*Service, FirstTry);
-  }
-  return !Parts.empty();
-}
-
-auto scatter_query::addServiceParts(const service &Service,
-                                    const std::uint32_t FirstTry) -> void {
-  const std::size_t Count = Snapshot.ShardCounts.at(Service.Id);
-  std::size_t First = 0;
-  std::size_t Last = Count;
-  if (Contract->Merge == merge_kind::ByKey) {
-    First = static_cast<std::size_t>(hash64(Request.Key) % Count);
-    Last = First + 1;
-  }
-  for (std::size_t Shard = First; Shard < Last; ++Shard) {
-    query_part Part;
-    Part.Service = Service.Id;
-    Part.Group = Service.groupOf(Shard).Id;
-    Part.Shard = Shard;
-    Part.ShardCount = Count;
-    Part.Try = FirstTry;
-    Parts.push_back(std::move(Part));
-  }
-}
-
 auto scatter_query::pageEnd() const -> std::size_t {
   if (Contract->Limit == 0)
     return 0;
@@ -202,9 +142,9 @@
   if (Outcome == attempt_outcome::Answered) {
     Part->State = part_state::Answered;
     Part->Items = Settlement.Items;
-    return finishIfDue(Now);
   }
-  recordFailure(*Part, Settlement, Outcome);
+  if (Outcome != attempt_outcome::Answered)
+    recordFailure(*Part, Settlement, Outcome);
   if (mayAskAgain(*Part, Settlement, Now)) {
     Part->State = part_state::Pending;
     ++Part->Try;
@@ -229,7 +169,9 @@
 
 auto scatter_query::mayAskAgain(query_part &Part, const settlement &Settlement,
                                 const time_point Now) -> bool {
-  if (Now >= SendBefore || (!Contract->Repeatable && Part.MayHaveRun))
+  if (Part.State != part_state::Failed || Now >= SendBefore)
+    return false;
+  if (!Contract->Repeatable && Part.MayHaveRun)
     return false;
   if (Part.Reason == attempt_outcome::Crashed) {
     if (Part.AskedAfterCrash || CrashedTargets.size() > MostCrashedToAskAgain)
@@ -246,19 +188,16 @@
   return true;
 }
 
-auto scatter_query::restartDue() const -> bool {
+auto scatter_query::mayRestart(const time_point Now) const -> bool {
+  if (Token || RestartsLeft == 0 || Now >= SendBefore)
+    return false;
   const bool AnyWrong =
       std::any_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
         return Part.State == part_state::Failed &&
                Part.Reason == attempt_outcome::WrongVersion;
       });
-  if (!AnyWrong)
-    return false;
-  const bool Probing = Snapshot.Version == 0;
-  if (Probing && anyPending())
-    return false;
-  if (Contract->Repeatable)
-    return true;
+  if (!AnyWrong || Contract->Repeatable)
+    return AnyWrong;
   return std::all_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
     return Part.State == part_state::Failed && !Part.MayHaveRun;
   });
@@ -274,20 +213,27 @@
 
 auto scatter_query::restart(const version_table &Versions, const time_point Now)
     -> std::optional<query_actions> {
-  const bool Probing = Snapshot.Version == 0;
-  if (Token || Now >= SendBefore || (RestartsLeft == 0 && !Probing) ||
-      !restartDue())
+  if (!mayRestart(Now))
     return std::nullopt;
   auto Other = otherSnapshot(Versions);
   if (!Other)
     return std::nullopt;
-  if (!Probing)
-    --RestartsLeft;
+  // Nothing common was known: the answers still out tell more.
+  if (Snapshot.Likely && anyPending() && Now < LearnBefore) {
+    Next = std::move(Other);
+    return std::nullopt;
+  }
+  return restartAt(std::move(*Other), Now);
+}
+
+auto scatter_query::restartAt(pinned_snapshot Other, const time_point Now)
+    -> query_actions {
+  --RestartsLeft;
   for (const query_part &Part : Parts)
     EarlierMayHaveRun = EarlierMayHaveRun || Part.MayHaveRun ||
                         Part.State != part_state::Failed;
   query_actions Actions = cancelPending();
-  query_actions Sends = beginAt(std::move(*Other));
+  query_actions Sends = beginAt(std::move(Other), Now);
   Actions.insert(Actions.end(), std::make_move_iterator(Sends.begin()),
                  std::make_move_iterator(Sends.end()));
   return Actions;
@@ -296,15 +242,23 @@
 auto scatter_query::onTimer(const time_point Now) -> query_actions {
   if (!Started || Finished)
     return {};
+  if (Next && Now >= LearnBefore) {
+    if (mayRestart(Now))
+      return restartAt(*Next, Now);
+    Next.reset();
+  }
   return finishIfDue(Now);
 }
 
 auto scatter_query::nextWake() const -> std::optional<time_point> {
   if (!Started || Finished)
     return std::nullopt;
+  time_point Wake = Deadline;
   if (!EarlyPassed && enoughForEarly())
-    return std::min(EarlyAt, Deadline);
-  return Deadline;
+    Wake = std::min(Wake, EarlyAt);
+  if (Next)
+    Wake = std::min(Wake, LearnBefore);
+  return Wake;
 }
 
 auto scatter_query::anyPending() const -> bool {
@@ -347,7 +301,10 @@
   Answer.Attempts = Attempts;
   Answer.Coverage = countCoverage(Parts);
   answer_code Decided =
-      decideCode(*Contract, Parts, Answer.Coverage, EarlierMayHaveRun);
+      Token && allLackVersion(Parts)
+          ? answer_code{result_code::SnapshotGone,
+                        "the token's snapshot is gone"}
+          : decideCode(*Contract, Parts, Answer.Coverage, EarlierMayHaveRun);
   Answer.Code = Decided.Code;
   Answer.Detail = std::move(Decided.Detail);
   if (Answer.Code == result_code::Ok || Answer.Code == result_code::Partial)
--- a/src/query/scatterquery.h
+++ b/src/query/scatterquery.h
@@ -40,9 +40,7 @@
   auto finished() const -> bool { return Finished; }
 
 private:
-  auto beginAt(pinned_snapshot Pinned) -> query_actions;
-  auto buildParts(std::uint32_t FirstTry) -> bool;
-  auto addServiceParts(const service &Service, std::uint32_t FirstTry) -> void;
+  auto beginAt(pinned_snapshot Pinned, time_point Now) -> query_actions;
   auto continueAt(const version_table &Versions, time_point Now)
       -> query_actions;
   auto send(std::uint32_t Index) const -> send_subrequest;
@@ -53,7 +51,8 @@
                    time_point Now) -> bool;
   auto restart(const version_table &Versions, time_point Now)
       -> std::optional<query_actions>;
-  auto restartDue() const -> bool;
+  auto restartAt(pinned_snapshot Other, time_point Now) -> query_actions;
+  auto mayRestart(time_point Now) const -> bool;
   auto otherSnapshot(const version_table &Versions) const
       -> std::optional<pinned_snapshot>;
   auto anyPending() const -> bool;
@@ -76,12 +75,14 @@
   time_point EarlyAt;
   time_point SendBefore; ///< deadline of subrequests
   time_point Deadline;
+  time_point LearnBefore; ///< end of the wait for what targets hold
   pinned_snapshot Snapshot;
+  std::optional<pinned_snapshot> Next; ///< to restart at by LearnBefore
   std::optional<continuation_token> Token;
   std::vector<query_part> Parts;
   std::set<target_id> CrashedTargets;
   std::uint32_t Attempts = 0;
-  int RestartsLeft = 1;
+  int RestartsLeft = 0;
   bool EarlierMayHaveRun = false; ///< a try at a snapshot given up
   bool EarlyPassed = false;
   bool Started = false;
--- /dev/null
+++ b/src/query/tests/schedule_tests.cpp
@@ -0,0 +1,277 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "query/scatterquery.h"
+#include "query/tests/decisionscript.h"
+#include "query/versiontable.h"
+
+#include <cmath>
+#include <set>
+
+using namespace tarragon;
+using namespace tarragon::query;
+using tarragon::test::decision_script;
+
+namespace {
+
+constexpr std::size_t ShardsOf[] = {0, 3, 2}; // by index version
+
+/// One service of two groups of one target; a random contract.
+auto makeDeployment(decision_script &Script) -> deployment {
+  contract Contract;
+  Contract.Id = "c";
+  Contract.Services = {"s"};
+  Contract.Repeatable = Script.pick(2) == 0;
+  Contract.Merge = static_cast<merge_kind>(Script.pick(3));
+  Contract.Wait = static_cast<wait_policy>(Script.pick(2));
+  Contract.EarlyAfter = milliseconds(Script.pick(150));
+  Contract.Shortfall = static_cast<shortfall_policy>(Script.pick(2));
+  Contract.LeastCoverage = 0.5 * static_cast<double>(Script.pick(3));
+  Contract.WantedCoverage = 0.5 * static_cast<double>(Script.pick(3));
+  service Service{"s", "", "index", {}, {}};
+  Service.Groups = {{"s/0", {{"t0", "", ""}}}, {"s/1", {{"t1", "", ""}}}};
+  deployment Deployment;
+  Deployment.Services.push_back(Service);
+  Deployment.Contracts.push_back(Contract);
+  return Deployment;
+}
+
+/// What really became of a subrequest, and what the query was told.
+struct sent_subrequest {
+  subrequest Request;
+  bool Done = false; ///< settled or lost
+  bool Live = true;  ///< neither settled nor cancelled
+  bool Ran = false;
+  bool ToldNotRun = false;
+  bool ToldRight = false;
+  bool InDoubt = true; ///< nothing told what became of it
+};
+
+/// Settles subrequests in every bad way and holds the query to its promises.
+class fault_schedule {
+public:
+  explicit fault_schedule(decision_script &Script)
+      : Script(Script),
+        Deployment(std::make_shared<deployment>(makeDeployment(Script))),
+        Contract(Deployment->Contracts.front()),
+        Query(7, "i", {"r", "c", "body", "key", {}, {}}, Deployment, 0, false) {
+    for (const char *Target : {"t0", "t1"})
+      Table.recordHeld(Target, {{1, ShardsOf[1]}, {2, ShardsOf[2]}}, Now);
+  }
+
+  auto run() -> query_answer {
+    take(Query.start(Table, Now));
+    for (int Step = 0; !Answer; ++Step) {
+      RC_ASSERT(Step < 1000);
+      Now += milliseconds(Script.pick(20));
+      if (Sent.size() == Over || Script.pick(8) == 7)
+        wake();
+      else
+        settleOne();
+    }
+    checkAnswer();
+    for (const settlement &Late : Told)
+      RC_ASSERT(Query.onSettlement(Late, Table, Now).empty());
+    RC_ASSERT(Query.onTimer(Now + milliseconds(500)).empty());
+    RC_ASSERT(!Query.nextWake());
+    return *Answer;
+  }
+
+private:
+  auto wake() -> void {
+    RC_ASSERT(Query.nextWake().has_value());
+    Now = std::max(Now, *Query.nextWake());
+    take(Query.onTimer(Now));
+  }
+
+  auto settleOne() -> void {
+    std::vector<sent_subrequest *> Open;
+    for (sent_subrequest &Each : Sent)
+      if (!Each.Done)
+        Open.push_back(&Each);
+    sent_subrequest &One = *Open[Script.pick(Open.size())];
+    const std::size_t Fault = Script.pick(16);
+    if (Fault == 13) { // doubled
+      if (!Told.empty())
+        tell(Told[Script.pick(Told.size())], nullptr);
+      return;
+    }
+    if (Fault == 14) // crossed with another query's, or a later try's
+      return tell(crossed(One.Request), nullptr);
+    One.Done = true;
+    ++Over;
+    One.Ran = Fault < 7 || Fault == 15 || (Fault < 10 && Script.pick(2) == 1);
+    if (Fault == 15) // lost
+      return;
+    tell(settle(One, Fault), &One);
+  }
+
+  auto crossed(const subrequest &Request) const -> settlement {
+    settlement Other = rightAnswer(Request);
+    Other.Id.Query += Script.pick(2);
+    Other.Id.Try += 1;
+    Other.Items.front().Body = "crossed";
+    return Other;
+  }
+
+  auto rightAnswer(const subrequest &Request) const -> settlement {
+    settlement Right;
+    Right.Id = Request.Id;
+    Right.Outcome = attempt_outcome::Answered;
+    Right.Version = Request.Version;
+    Right.Shard = Request.Shard;
+    Right.ShardCount = Request.ShardCount;
+    Right.Target = Request.Group == "s/0" ? "t0" : "t1";
+    Right.Items = {{"k", 1, tag(Request.Version, Request.Shard)}};
+    Right.Attempts = 1;
+    return Right;
+  }
+
+  static auto tag(const index_version Version, const std::size_t Shard)
+      -> std::string {
+    return std::to_string(Version) + "/" + std::to_string(Shard);
+  }
+
+  /// The settlement of the chosen fault; true about One.Ran.
+  auto settle(sent_subrequest &One, const std::size_t Fault) -> settlement {
+    using enum attempt_outcome;
+    static constexpr attempt_outcome Outcomes[] = {
+        Answered, Answered, Answered, Answered, Answered, Corrupt,     Refused,
+        Crashed,  Expired,  NotSent,  NotRun,   Shed,     WrongVersion};
+    settlement Settlement = rightAnswer(One.Request);
+    Settlement.Outcome = Outcomes[Fault];
+    Settlement.ProvenNotRun =
+        !One.Ran && Fault != 7 && (Fault > 9 || Script.pick(2) == 0);
+    if (Fault == 9) // the dispatcher's instance was lost
+      Settlement.Target.clear();
+    if (Fault == 2)
+      Settlement.Version = 3 - Settlement.Version;
+    if (Fault == 3)
+      ++(Script.pick(2) == 0 ? Settlement.Shard : Settlement.ShardCount);
+    if (Fault == 4)
+      Settlement.Items.front().Score = std::nan("");
+    if (Fault >= 2 && Fault != 12)
+      Settlement.Items.front().Body = "wrong";
+    if (Fault == 12)
+      Table.recordHeld(Settlement.Target, {{1, ShardsOf[1]}}, Now);
+    One.ToldRight = Fault < 2;
+    if (Fault < 2 && One.Live)
+      Right.insert(tag(One.Request.Version, One.Request.Shard));
+    return Settlement;
+  }
+
+  auto tell(const settlement &Settlement, sent_subrequest *One) -> void {
+    if (One != nullptr) {
+      One->Live = false;
+      One->ToldNotRun = Settlement.ProvenNotRun;
+      One->InDoubt = !Settlement.ProvenNotRun && !One->ToldRight &&
+                     Settlement.Outcome != attempt_outcome::Refused;
+    }
+    Told.push_back(Settlement);
+    take(Query.onSettlement(Settlement, Table, Now));
+  }
+
+  auto take(const query_actions &Actions) -> void {
+    for (const query_action &Action : Actions) {
+      RC_ASSERT(!Answer.has_value());
+      if (const auto *Send = std::get_if<send_subrequest>(&Action))
+        takeSend(Send->Request);
+      if (const auto *Cancel = std::get_if<cancel_subrequest>(&Action))
+        takeCancel(Cancel->Id);
+      if (const auto *Finish = std::get_if<finish_query>(&Action))
+        Answer = Finish->Answer;
+    }
+    for (const sent_subrequest &Each : Sent) // one snapshot, none left behind
+      RC_ASSERT(!Each.Live || (!Answer && Each.Request.Version == Version) ||
+                Each.Done);
+  }
+
+  auto takeSend(const subrequest &Request) -> void {
+    RC_ASSERT(Request.Deadline < time_point{} + Contract.Deadline);
+    RC_ASSERT(Request.ShardCount == ShardsOf[Request.Version]);
+    for (const sent_subrequest &Each : Sent) {
+      RC_ASSERT(Each.Request.Id != Request.Id);
+      const bool Again = Each.Request.Id.Part == Request.Id.Part ||
+                         Each.Request.Version != Request.Version;
+      RC_ASSERT(!Again || Contract.Repeatable || Each.ToldNotRun);
+    }
+    Version = Request.Version;
+    Sent.emplace_back().Request = Request;
+  }
+
+  auto takeCancel(const subrequest_id &Id) -> void {
+    for (sent_subrequest &Each : Sent)
+      if (Each.Request.Id == Id)
+        Each.Live = false;
+  }
+
+  auto checkAnswer() const -> void {
+    const coverage &Coverage = Answer->Coverage;
+    std::set<std::string> Answered;
+    for (const std::string &Each : Right)
+      if (Each.starts_with(std::to_string(Version) + "/"))
+        Answered.insert(Each);
+    RC_ASSERT(Answer->Version == Version);
+    RC_ASSERT(Coverage.Asked ==
+              (Contract.Merge == merge_kind::ByKey ? 1 : ShardsOf[Version]));
+    RC_ASSERT(Coverage.Answered == Answered.size());
+    std::set<std::string> Named = Answered;
+    for (const missing_shard &Missing : Coverage.Missing)
+      Named.insert(tag(Version, Missing.Shard));
+    RC_ASSERT(Named.size() == Coverage.Asked);
+    for (const item &Item : Answer->Items)
+      RC_ASSERT(Answered.contains(Item.Body));
+    RC_ASSERT(Now <= time_point{} + Contract.Deadline + milliseconds(20));
+    checkCode(Coverage);
+  }
+
+  auto checkCode(const coverage &Coverage) const -> void {
+    const result_code Code = Answer->Code;
+    const bool AnyRan =
+        std::any_of(Sent.begin(), Sent.end(),
+                    [](const sent_subrequest &Each) { return Each.Ran; });
+    const bool TooFew = Contract.Shortfall == shortfall_policy::Refuse &&
+                        Coverage.share() < Contract.LeastCoverage;
+    RC_ASSERT((Code == result_code::Ok) == Coverage.complete());
+    RC_ASSERT(!isNotRun(Code) || !AnyRan);
+    RC_ASSERT(Code != result_code::Failed || AnyRan || Contract.Repeatable);
+    RC_ASSERT(Code != result_code::Partial || !TooFew);
+    RC_ASSERT(Code != result_code::CoverageBelowLeast ||
+              (TooFew && Answer->Items.empty()));
+    if (Contract.Repeatable || Coverage.complete())
+      return;
+    const bool InDoubt =
+        std::any_of(Sent.begin(), Sent.end(),
+                    [](const sent_subrequest &Each) { return Each.InDoubt; });
+    RC_ASSERT(InDoubt == (Code == result_code::OutcomeUnknown));
+  }
+
+  decision_script &Script;
+  std::shared_ptr<const deployment> Deployment;
+  const contract &Contract;
+  scatter_query Query;
+  version_table Table;
+  time_point Now;
+  index_version Version = 0;
+  std::vector<sent_subrequest> Sent;
+  std::size_t Over = 0;
+  std::vector<settlement> Told;
+  std::set<std::string> Right;
+  std::optional<query_answer> Answer;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(keeps_its_promises_under_any_schedule_of_faults) {
+  std::map<result_code, int> Codes;
+  BOOST_TEST(rc::check([&](const std::vector<std::uint8_t> &Bytes) {
+    decision_script Script(Bytes);
+    ++Codes[fault_schedule(Script).run().Code];
+  }));
+  using enum result_code;
+  for (const result_code Code : {Ok, Partial, CoverageBelowLeast, NotRunShed,
+                                 NotRunOverload, OutcomeUnknown, Failed}) {
+    BOOST_TEST_MESSAGE(resultRow(Code).Name << " " << Codes[Code]);
+    BOOST_TEST(Codes[Code] > 0); // the schedules reached it
+  }
+}
--- a/src/query/versiontable.cpp
+++ b/src/query/versiontable.cpp
@@ -62,6 +62,7 @@
 auto probeSnapshot(const deployment &Deployment, const contract &Contract)
     -> pinned_snapshot {
   pinned_snapshot Probe;
+  Probe.Likely = true;
   for (const service_id &Id : Contract.Services)
     Probe.ShardCounts[Id] = Deployment.findService(Id)->Groups.size();
   return Probe;
@@ -129,8 +130,10 @@
   if (Before)
     return std::nullopt;
   if (auto Likely =
-          newestOf(Views, Versions, Before, &service_view::likelyServedAs))
+          newestOf(Views, Versions, Before, &service_view::likelyServedAs)) {
+    Likely->Likely = true;
     return Likely;
+  }
   return probeSnapshot(Deployment, Contract);
 }
 
--- a/src/query/versiontable.h
+++ b/src/query/versiontable.h
@@ -27,7 +27,7 @@
                   time_point Now) -> void;
 
   /// Takes the platform's word on \p Index: used only for targets that have
-  /// said nothing yet.
+  /// said nothing yet, and not once a target of the service belied it.
   auto recordHint(const std::string &Index, pinned_snapshot Snapshot) -> void;
 
   /// Drops all that \p Target said: to be called when it left.
