--- /dev/null
+++ b/bench/experiments/experiments.cpp
@@ -0,0 +1,28 @@
+#include "bench/experiments/experiments.h"
+
+#include <array>
+
+namespace tarragon::bench {
+
+auto experiments() -> std::span<const experiment> {
+  static constexpr std::array Table{
+      experiment{"straggler", runStraggler},
+      experiment{"lostreplica", runLostReplica},
+      experiment{"overload", runOverload},
+      experiment{"overhead", runOverhead},
+  };
+  return Table;
+}
+
+auto notStarted(const std::string &Why) -> experiment_result {
+  experiment_result Result;
+  Result.Broken.push_back("not started: " + Why);
+  return Result;
+}
+
+auto shareOf(const milliseconds Whole, const double Share) -> milliseconds {
+  return milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(Whole.count()) * Share));
+}
+
+} // namespace tarragon::bench
