Prove the member table on a virtual network; agree tables by digest

Cause: a newcomer learnt the table from news alone, and a list held by one member took 28 s to reach 100. Change: messages carry a digest of the live members; an answer to a differing one carries rows of the table. Contacts are probed two a period. A silent member is probed again directly beside the indirect probes.

--- a/src/membership/internal/memberbook.cpp
+++ b/src/membership/internal/memberbook.cpp
@@ -53,9 +53,13 @@
   member_record &Record = Known ? Found->second : Records[Id];
   if (!NewLife && !replacesState(Update, Record)) {
     const bool NowLeaving = leaves(Update) && !Record.Leaving;
+    Digest ^= Record.digest();
     Record.Leaving = Record.Leaving || NowLeaving;
+    Digest ^= Record.digest();
     return NowLeaving ? change::Changed : change::None;
   }
+  if (Known)
+    Digest ^= Record.digest();
   const bool StayedLeaving = !NewLife && Record.Leaving;
   if (NewLife) {
     setDeadline(Id, Record, std::nullopt);
@@ -65,6 +69,7 @@
   Record.Refutation = Update.Refutation;
   Record.Leaving = StayedLeaving || leaves(Update);
   setState(Record, stored(Update.Instance.State), Suspicion, Forget, Now);
+  Digest ^= Record.digest();
   return NewLife ? change::Learnt : change::Changed;
 }
 
@@ -86,6 +91,7 @@
   while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
     const instance_id Id = Deadlines.begin()->second;
     member_record &Record = Records[Id];
+    Digest ^= Record.digest(); // a dead one's is nought
     if (Record.alive())
       Died.push_back(Id);
     if (Record.alive() || Listed.contains(Id)) {
--- a/src/membership/internal/memberbook.h
+++ b/src/membership/internal/memberbook.h
@@ -39,6 +39,7 @@
   auto records() const -> const std::map<instance_id, member_record> & {
     return Records;
   }
+  auto digest() const -> std::uint64_t { return Digest; }
   auto nextDeadline() const -> std::optional<time_point>;
 
   /// The contact after \p Last, going round, among those that are listed but
@@ -54,6 +55,7 @@
   auto sortIn(const instance_id &Id) -> void;
 
   std::map<instance_id, member_record> Records;
+  std::uint64_t Digest = 0; ///< all records' digests, by exclusive or
   std::map<instance_id, instance> Listed;
   std::set<instance_id> Contacts; ///< listed but unheard, or dead
   std::set<std::pair<time_point, instance_id>> Deadlines;
--- a/src/membership/internal/memberrecord.h
+++ b/src/membership/internal/memberrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "global/hash.h"
 #include "global/types/time.h"
 #include "membership/types/memberupdate.h"
 
@@ -7,6 +8,12 @@
 
 namespace tarragon::membership {
 
+/// The part of a live member in the digest of a whole table.
+inline auto memberDigest(const instance &Member, const bool Leaving)
+    -> std::uint64_t {
+  return hash64(Member.Id, 2 * Member.Incarnation + (Leaving ? 1 : 0));
+}
+
 /// What is known of one other instance.
 struct member_record {
   instance Instance; ///< its State is Live, Suspect or Dead only
@@ -21,6 +28,11 @@
     return {visible(), Refutation, Leaving};
   }
 
+  /// What two instances must agree on to know the same live members.
+  auto digest() const -> std::uint64_t {
+    return alive() ? memberDigest(visible(), Leaving) : 0;
+  }
+
   /// The instance with the state that the rest of the program sees.
   auto visible() const -> instance {
     instance Seen = Instance;
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -10,9 +10,6 @@
 /// How often news is sent along: this many times the logarithm of the size.
 constexpr double SendingsPerLog = 3.0;
 
-/// Rows of the table that a probe carries when there is no news.
-constexpr std::size_t RowsPerProbe = 1;
-
 /// The most members told directly that this instance leaves.
 constexpr std::size_t MostLeaveMessages = 16;
 
@@ -60,8 +57,6 @@
     return Out;
   }
   const member_record *Before = Book.find(From.Id);
-  const bool Newcomer =
-      Before == nullptr || Before->Instance.Incarnation < From.Incarnation;
   const bool Outdated =
       Before != nullptr && Before->Instance.Incarnation > From.Incarnation;
   take({From, Message.Refutation, From.State == instance_state::Leaving}, Now);
@@ -69,9 +64,10 @@
     Book.setConfig(From.Id, Message.Config);
   for (const member_update &Update : Message.Updates)
     take(Update, Now);
+  takeRows(Message.Rows, Now);
   switch (Message.Kind) {
   case gossip_kind::Ping:
-    onPing(Message, Newcomer, Out);
+    onPing(Message, Out);
     break;
   case gossip_kind::Ack:
     if (!Outdated)
@@ -171,6 +167,7 @@
   Message.From = self();
   Message.Refutation = Refutation;
   Message.Config = Config;
+  Message.Digest = digest();
   addAccusation(To, Message.Updates);
   const std::size_t Room =
       Settings.UpdatesPerMessage -
@@ -183,8 +180,6 @@
     else if (Record != nullptr && Id != To.Id)
       Message.Updates.push_back(Record->update());
   }
-  if (Kind == gossip_kind::Ping && Message.Updates.empty())
-    addTableRows(RowsPerProbe, Message.Updates);
   return Message;
 }
 
@@ -199,32 +194,52 @@
     Updates.push_back(Record->update());
 }
 
-auto member_table::addTableRows(const std::size_t Rows,
-                                std::vector<member_update> &Updates) -> void {
+auto member_table::addRows(std::vector<member_update> &Rows) -> void {
   const auto &Records = Book.records();
-  for (std::size_t Row = 0; Row < std::min(Rows, Records.size()); ++Row) {
+  const std::size_t Count =
+      std::min(Settings.UpdatesPerMessage, Records.size());
+  for (std::size_t Row = 0; Row < Count; ++Row) {
     auto Next = Records.upper_bound(LastRow);
     if (Next == Records.end())
       Next = Records.begin();
     LastRow = Next->first;
     if (Next->second.alive())
-      Updates.push_back(Next->second.update());
+      Rows.push_back(Next->second.update());
   }
 }
 
+auto member_table::digest() const -> std::uint64_t {
+  return Book.digest() ^ memberDigest(Self, Leaving);
+}
+
 auto member_table::take(const member_update &Update, const time_point Now)
     -> void {
   if (Update.Instance.Id == Self.Id) {
     takeOwn(Update);
     return;
   }
+  if (takeOther(Update, Now) != member_book::change::None)
+    Queue.push(Update.Instance.Id);
+}
+
+auto member_table::takeRows(const std::vector<member_update> &Rows,
+                            const time_point Now) -> void {
+  for (const member_update &Row : Rows) {
+    if (Row.Instance.Id == Self.Id)
+      takeOwn(Row);
+    // What is new to this instance alone is no news to tell on.
+    else if (takeOther(Row, Now) == member_book::change::Changed)
+      Queue.push(Row.Instance.Id);
+  }
+}
+
+auto member_table::takeOther(const member_update &Update, const time_point Now)
+    -> member_book::change {
   const auto Change =
       Book.take(Update, suspicionTime(), Settings.ForgetDeadAfter, Now);
-  if (Change == member_book::change::None)
-    return;
-  Queue.push(Update.Instance.Id);
   if (Change == member_book::change::Learnt)
     Round.insert(Update.Instance.Id, Random);
+  return Change;
 }
 
 auto member_table::takeOwn(const member_update &Update) -> void {
@@ -240,13 +255,12 @@
   Queue.push(Self.Id);
 }
 
-auto member_table::onPing(const gossip_message &Message, const bool Newcomer,
-                          messages &Out) -> void {
+auto member_table::onPing(const gossip_message &Message, messages &Out)
+    -> void {
   gossip_message Answer =
       compose(gossip_kind::Ack, Message.Sequence, Message.From);
-  const std::size_t Carried = Answer.Updates.size();
-  if (Newcomer && Carried < Settings.UpdatesPerMessage)
-    addTableRows(Settings.UpdatesPerMessage - Carried, Answer.Updates);
+  if (Message.Digest != Answer.Digest)
+    addRows(Answer.Rows);
   Out.push_back({Message.From, std::move(Answer)});
 }
 
@@ -304,15 +318,16 @@
       Due.push_back(Sequence);
   for (const std::uint64_t Sequence : Due) {
     probe &Probe = Probes[Sequence];
-    if (!Probe.Contact && !Probe.Indirect) {
-      Probe.Indirect = true;
-      Probe.Deadline = Now + IndirectTimeouts * Settings.ProbeTimeout;
-      askOthers(Sequence, Probe.Target, Out);
+    const member_record *Record = Book.find(Probe.Target);
+    if (Record == nullptr || Probe.Contact || Probe.Indirect) {
+      if (!Probe.Contact)
+        suspect(Probe.Target, Now, Out);
+      Probes.erase(Sequence);
       continue;
     }
-    if (!Probe.Contact)
-      suspect(Probe.Target, Now, Out);
-    Probes.erase(Sequence);
+    Probe.Indirect = true;
+    Probe.Deadline = Now + IndirectTimeouts * Settings.ProbeTimeout;
+    askAgain(Sequence, Record->Instance, Out);
   }
 }
 
@@ -323,7 +338,7 @@
       break;
     ping(Book.find(*Id)->Instance, false, Now, Out);
   }
-  probeContact(Now, Out);
+  probeContacts(Now, Out);
 }
 
 auto member_table::ping(const instance &To, const bool Contact,
@@ -333,25 +348,31 @@
   Out.push_back({To, compose(gossip_kind::Ping, Sequence, To)});
 }
 
-auto member_table::askOthers(const std::uint64_t Sequence,
-                             const instance_id &About, messages &Out) -> void {
+auto member_table::askAgain(const std::uint64_t Sequence, const instance &About,
+                            messages &Out) -> void {
+  Out.push_back({About, compose(gossip_kind::Ping, Sequence, About)});
   const auto Helpers =
-      Round.sample(Book.records(), Settings.IndirectProbes, About, Random);
+      Round.sample(Book.records(), Settings.IndirectProbes, About.Id, Random);
   for (const instance_id &Id : Helpers) {
     const instance &To = Book.find(Id)->Instance;
     gossip_message Request = compose(gossip_kind::PingRequest, Sequence, To);
-    Request.About = About;
+    Request.About = About.Id;
     Out.push_back({To, std::move(Request)});
   }
 }
 
-auto member_table::probeContact(const time_point Now, messages &Out) -> void {
-  const auto Addresses = Book.contactAfter(LastContact);
-  if (Addresses.empty())
-    return;
-  LastContact = Addresses.front().Id;
-  for (const instance &To : Addresses)
-    ping(To, true, Now, Out);
+auto member_table::probeContacts(const time_point Now, messages &Out) -> void {
+  instance_id First;
+  for (std::size_t Count = 0; Count < Settings.ProbesPerPeriod; ++Count) {
+    const auto Addresses = Book.contactAfter(LastContact);
+    if (Addresses.empty() || Addresses.front().Id == First)
+      return;
+    LastContact = Addresses.front().Id;
+    if (First.empty())
+      First = LastContact;
+    for (const instance &To : Addresses)
+      ping(To, true, Now, Out);
+  }
 }
 
 auto member_table::suspect(const instance_id &Id, const time_point Now,
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -74,13 +74,15 @@
       -> gossip_message;
   auto addAccusation(const instance &To, std::vector<member_update> &Updates)
       -> void;
-  auto addTableRows(std::size_t Rows, std::vector<member_update> &Updates)
-      -> void;
+  auto addRows(std::vector<member_update> &Rows) -> void;
+  auto digest() const -> std::uint64_t;
 
   auto take(const member_update &Update, time_point Now) -> void;
+  auto takeRows(const std::vector<member_update> &Rows, time_point Now) -> void;
+  auto takeOther(const member_update &Update, time_point Now)
+      -> member_book::change;
   auto takeOwn(const member_update &Update) -> void;
-  auto onPing(const gossip_message &Message, bool Newcomer, messages &Out)
-      -> void;
+  auto onPing(const gossip_message &Message, messages &Out) -> void;
   auto onAck(const gossip_message &Message, time_point Now, messages &Out)
       -> void;
   auto onPingRequest(const gossip_message &Message, time_point Now,
@@ -91,9 +93,9 @@
   auto startProbes(time_point Now, messages &Out) -> void;
   auto ping(const instance &To, bool Contact, time_point Now, messages &Out)
       -> void;
-  auto askOthers(std::uint64_t Sequence, const instance_id &About,
-                 messages &Out) -> void;
-  auto probeContact(time_point Now, messages &Out) -> void;
+  auto askAgain(std::uint64_t Sequence, const instance &About, messages &Out)
+      -> void;
+  auto probeContacts(time_point Now, messages &Out) -> void;
   auto suspect(const instance_id &Id, time_point Now, messages &Out) -> void;
   auto suspicionTime() const -> milliseconds;
 
@@ -110,7 +112,7 @@
   std::map<std::uint64_t, probe> Probes; ///< by sequence
   std::map<std::uint64_t, relay> Relays; ///< by sequence
   std::uint64_t NextSequence = 1;
-  instance_id LastRow;     ///< the last table row sent along without news
+  instance_id LastRow;     ///< the last of the table's rows sent
   instance_id LastContact; ///< the last contact probed
   time_point NextPeriod;
   std::optional<time_point> LastAnswer;
--- /dev/null
+++ b/src/membership/tests/membertable_tests.cpp
@@ -0,0 +1,245 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "bounds.h"
+#include "virtualnetwork.h"
+
+using namespace std::chrono_literals;
+using namespace tarragon::membership::tests;
+using tarragon::instance_state;
+using tarragon::milliseconds;
+using tarragon::membership::membership_settings;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+const membership_settings Settings;
+const auto Sizes = data::make({std::size_t{7}, std::size_t{100}});
+const auto Seeds = data::make({std::uint64_t{1}, std::uint64_t{2}});
+const auto Cases = Sizes * Seeds;
+
+auto allLive(virtual_network &Network) -> bool {
+  return Network.allSee(Network.ids(), instance_state::Live);
+}
+
+/// Runs until all see all running ones Live; whether it took at most \p Bound.
+auto converges(virtual_network &Network, const milliseconds Bound) -> bool {
+  return Network.runUntil([&] { return allLive(Network); }, Bound) <= Bound;
+}
+
+auto becomes(virtual_network &Network,
+             const std::vector<tarragon::instance_id> &Ids,
+             const instance_state State, const milliseconds Bound) -> bool {
+  return Network.runUntil([&] { return Network.allSee(Ids, State); }, Bound) <=
+         Bound;
+}
+
+auto settled(const std::uint64_t Seed, const std::size_t Size)
+    -> virtual_network {
+  virtual_network Network(Seed, Settings);
+  const auto Fleet = fleet(Size);
+  for (const auto &Self : Fleet)
+    Network.start(Self, Fleet);
+  BOOST_REQUIRE(converges(Network, spreadBound(Settings, Size)));
+  return Network;
+}
+
+auto countSeen(virtual_network &Network, const instance_state State)
+    -> std::size_t {
+  std::size_t Count = 0;
+  for (const auto &Id : Network.ids())
+    for (const auto &Member : Network.table(Id).members())
+      Count += Member.State == State ? 1 : 0;
+  return Count;
+}
+
+auto odd(const tarragon::instance_id &Id) -> bool {
+  return (Id.back() - '0') % 2 != 0;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(converges_when_one_alone_has_the_list, Cases, Size, Seed) {
+  virtual_network Network(Seed, Settings);
+  const auto Fleet = fleet(Size);
+  for (const auto &Self : Fleet)
+    Network.start(Self,
+                  Self.Id == "n0" ? Fleet : std::vector<tarragon::instance>{});
+  const int Periods = static_cast<int>(Size / Settings.ProbesPerPeriod);
+  BOOST_TEST(converges(Network, Periods * Settings.ProbePeriod +
+                                    spreadBound(Settings, Size)));
+}
+
+BOOST_DATA_TEST_CASE(converges_when_all_know_one_only, Cases, Size, Seed) {
+  virtual_network Network(Seed, Settings);
+  const auto Fleet = fleet(Size);
+  for (const auto &Self : Fleet)
+    Network.start(Self, {Fleet[0]});
+  BOOST_TEST(converges(Network, 2 * spreadBound(Settings, Size)));
+}
+
+BOOST_DATA_TEST_CASE(a_wrong_list_adds_no_members, Cases, Size, Seed) {
+  virtual_network Network(Seed, Settings);
+  const auto Fleet = fleet(Size);
+  auto Wrong = Fleet;
+  std::swap(Wrong[1].PeerAddress, Wrong[2].PeerAddress);
+  Wrong.push_back({"gone", "10.9.9.9:1", "10.9.9.9:2", "d0"});
+  Wrong.push_back({"", "", "", ""});
+  for (const auto &Self : Fleet)
+    Network.start(Self, Wrong);
+  BOOST_TEST(converges(Network, 2 * spreadBound(Settings, Size)));
+  BOOST_TEST(Network.table("n0").members().size() == Size);
+}
+
+BOOST_DATA_TEST_CASE(deaths_are_known_within_the_bound, Cases, Size, Seed) {
+  auto Network = settled(Seed, Size);
+  std::vector<tarragon::instance_id> Dead;
+  for (std::size_t Index = 0; Index < Size; Index += 3)
+    Dead.push_back(numbered(Index).Id);
+  for (const auto &Id : Dead)
+    Network.stop(Id);
+  BOOST_TEST(
+      becomes(Network, Dead, instance_state::Dead, deathBound(Settings, Size)));
+  BOOST_TEST(allLive(Network));
+}
+
+BOOST_DATA_TEST_CASE(loss_kills_nobody, Cases, Size, Seed) {
+  auto Network = settled(Seed, Size);
+  Network.Loss = 0.1;
+  for (int Second = 0; Second < 20; ++Second) {
+    Network.run(1s);
+    BOOST_TEST(countSeen(Network, instance_state::Dead) == 0U);
+  }
+  Network.Loss = 0;
+  BOOST_TEST(converges(Network, spreadBound(Settings, Size)));
+}
+
+BOOST_DATA_TEST_CASE(a_link_lost_one_way_kills_nobody, Cases, Size, Seed) {
+  auto Network = settled(Seed, Size);
+  Network.Blocked = [](const auto &From, const auto &To) {
+    return From == "n1" && To == "n2";
+  };
+  for (int Second = 0; Second < 30; ++Second) {
+    Network.run(1s);
+    BOOST_TEST(countSeen(Network, instance_state::Dead) == 0U);
+  }
+}
+
+BOOST_DATA_TEST_CASE(a_partition_heals_both_ways_without_a_list, Cases, Size,
+                     Seed) {
+  auto Network = settled(Seed, Size);
+  for (const auto &Id : Network.ids())
+    Network.table(Id).adoptInstanceList({}, Network.now());
+  Network.Blocked = [](const auto &From, const auto &To) {
+    return odd(From) != odd(To);
+  };
+  Network.run(Settings.ForgetDeadAfter / 2);
+  BOOST_TEST((Network.stateAt("n0", "n1") == instance_state::Dead));
+  BOOST_TEST((Network.stateAt("n1", "n0") == instance_state::Dead));
+  Network.Blocked = nullptr;
+  BOOST_TEST(converges(Network, spreadBound(Settings, Size)));
+}
+
+BOOST_DATA_TEST_CASE(a_long_partition_heals_by_the_list, Cases, Size, Seed) {
+  auto Network = settled(Seed, Size);
+  Network.Blocked = [](const auto &From, const auto &To) {
+    return odd(From) != odd(To);
+  };
+  Network.run(2 * Settings.ForgetDeadAfter);
+  Network.Blocked = nullptr;
+  BOOST_TEST(converges(Network, spreadBound(Settings, Size)));
+}
+
+BOOST_DATA_TEST_CASE(a_paused_one_returns_and_condemns_nobody,
+                     Cases *data::make({false, true}), Size, Seed, TimerFirst) {
+  auto Network = settled(Seed, Size);
+  Network.pause("n5");
+  Network.run(Settings.ForgetDeadAfter / 2);
+  BOOST_TEST((Network.stateAt("n1", "n5") == instance_state::Dead));
+  Network.resume("n5", TimerFirst);
+  BOOST_TEST(!Network.table("n5").reachesPeers(Network.now()));
+  const auto Bound = spreadBound(Settings, Size);
+  BOOST_TEST(converges(Network, Bound));
+  BOOST_TEST(Network.table("n5").reachesPeers(Network.now()));
+  Network.run(deathBound(Settings, Size));
+  BOOST_TEST(allLive(Network));
+}
+
+BOOST_DATA_TEST_CASE(a_later_life_replaces_the_earlier, Cases, Size, Seed) {
+  auto Network = settled(Seed, Size);
+  Network.leave("n3");
+  Network.run(1s);
+  Network.stop("n3");
+  auto Later = numbered(3, 2);
+  Later.PeerAddress = "10.0.2.2:3";
+  Network.start(Later, fleet(Size));
+  BOOST_TEST(becomes(Network, {"n3"}, instance_state::Live,
+                     spreadBound(Settings, Size)));
+  for (const auto &Member : Network.table("n0").members())
+    if (Member.Id == "n3")
+      BOOST_TEST((Member == Later));
+  Network.run(deathBound(Settings, Size));
+  BOOST_TEST(allLive(Network));
+}
+
+BOOST_DATA_TEST_CASE(leaving_spreads_and_sticks, Cases, Size, Seed) {
+  auto Network = settled(Seed, Size);
+  Network.leave("n2");
+  BOOST_TEST(becomes(Network, {"n2"}, instance_state::Leaving,
+                     spreadBound(Settings, Size)));
+  // Dead for the others, then back: it still leaves.
+  Network.pause("n2");
+  Network.run(Settings.ForgetDeadAfter / 2);
+  BOOST_TEST((Network.stateAt("n1", "n2") == instance_state::Dead));
+  Network.resume("n2", true);
+  BOOST_TEST(becomes(Network, {"n2"}, instance_state::Leaving,
+                     spreadBound(Settings, Size)));
+}
+
+BOOST_AUTO_TEST_CASE(messages_of_a_member_do_not_grow_with_the_fleet) {
+  constexpr int Periods = 50;
+  // Own probes and answers to as many from others, on the mean.
+  const std::size_t Mean = 2 * Settings.ProbesPerPeriod * Periods;
+  for (const std::size_t Size : {7U, 100U, 300U}) {
+    auto Network = settled(1, Size);
+    Network.run(10s);
+    Network.Sent.clear();
+    Network.run(Periods * Settings.ProbePeriod);
+    for (const auto &[Id, Sent] : Network.Sent)
+      BOOST_TEST(Sent <= Mean + Mean / 4, Size << " members, " << Id);
+    BOOST_TEST(Network.MostUpdates <= Settings.UpdatesPerMessage);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_newest_configuration_is_heard_of) {
+  auto Network = settled(1, 100);
+  BOOST_TEST(!Network.table("n0").newestConfig().has_value());
+  Network.table("n7").setConfig(4);
+  Network.table("n8").setConfig(3);
+  Network.run(60s);
+  const auto Newest = Network.table("n0").newestConfig();
+  BOOST_REQUIRE(Newest.has_value());
+  BOOST_TEST(Newest->first.Id == "n7");
+  BOOST_TEST(Newest->second == 4U);
+  Network.stop("n7");
+  Network.run(deathBound(Settings, 100));
+  BOOST_TEST(Network.table("n0").newestConfig()->second == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(an_old_life_learns_that_it_was_replaced) {
+  auto Network = settled(1, 7);
+  tarragon::membership::gossip_message Ping;
+  Ping.From = numbered(3, 2);
+  Network.table("n0").onMessage(Ping, Network.now());
+  BOOST_TEST(!Network.table("n3").replaced());
+  Network.run(spreadBound(Settings, 7));
+  BOOST_TEST(Network.table("n3").replaced());
+}
+
+BOOST_AUTO_TEST_CASE(alone_it_reaches_nobody) {
+  virtual_network Network(1, Settings);
+  Network.start(numbered(0), fleet(7));
+  Network.run(10s);
+  BOOST_TEST(!Network.table("n0").reachesPeers(Network.now()));
+  BOOST_TEST(Network.table("n0").members().size() == 1U);
+}
