--- a/src/config/deploymentdiff.cpp
+++ b/src/config/deploymentdiff.cpp
@@ -196,6 +196,24 @@
   AddChanged(New, Old);
 }
 
+auto sharedSettingsDiffer(const deployment &Old, const deployment &New)
+    -> bool {
+  return Old.MostInstances != New.MostInstances ||
+         Old.AddressLifetime != New.AddressLifetime ||
+         Old.PoisonHold != New.PoisonHold;
+}
+
+/// Adds all teams of \p Deployment other than \p Team.
+auto addOthers(const deployment &Deployment, const team_id &Team,
+               std::set<team_id> &Foreign) -> void {
+  for (const service &Service : Deployment.Services)
+    if (Service.Team != Team)
+      Foreign.insert(Service.Team);
+  for (const contract &Contract : Deployment.Contracts)
+    if (Contract.Team != Team)
+      Foreign.insert(Contract.Team);
+}
+
 } // namespace
 
 auto diffDeployments(const deployment &Old, const deployment &New)
@@ -223,6 +241,8 @@
   std::set<team_id> Foreign;
   addForeign(Old.Services, New.Services, Team, Foreign);
   addForeign(Old.Contracts, New.Contracts, Team, Foreign);
+  if (sharedSettingsDiffer(Old, New))
+    addOthers(Old, Team, Foreign);
   return {Foreign.begin(), Foreign.end()};
 }
 
--- a/src/config/deploymentfile.cpp
+++ b/src/config/deploymentfile.cpp
@@ -1,6 +1,7 @@
 #include "config/deploymentfile.h"
 
 #include "config/internal/contractreader.h"
+#include "config/internal/documentcount.h"
 #include "config/internal/mappingreader.h"
 #include "config/internal/servicereader.h"
 #include "config/internal/textcheck.h"
@@ -110,13 +111,12 @@
 auto readText(const std::string_view Text, fault_list &Faults) -> deployment {
   if (!isPlainText(Text, Faults))
     return {};
-  const auto Documents = YAML::LoadAll(std::string(Text));
-  if (Documents.size() != 1) {
-    Faults.addAt(1, 1, result_code::ConfigMalformed,
-                 "the file must hold exactly one YAML document");
-    return {};
-  }
-  return readRoot(Documents.front(), Faults);
+  const std::string Whole(Text);
+  if (isOneDocument(Whole))
+    return readRoot(YAML::Load(Whole), Faults);
+  Faults.addAt(1, 1, result_code::ConfigMalformed,
+               "the file must hold exactly one YAML document");
+  return {};
 }
 
 } // namespace
--- a/src/config/deploymentfile.h
+++ b/src/config/deploymentfile.h
@@ -23,7 +23,9 @@
 auto diffDeployments(const deployment &Old, const deployment &New)
     -> std::vector<std::string>;
 
-/// Names of other teams whose services or contracts would change.
+/// Names of teams other than \p Team whose services or contracts would change;
+/// a change of the settings above all services concerns every team. Nothing
+/// when \p Team is empty.
 auto foreignChanges(const deployment &Old, const deployment &New,
                     const team_id &Team) -> std::vector<std::string>;
 
--- a/src/config/internal/requestcheck.cpp
+++ b/src/config/internal/requestcheck.cpp
@@ -11,8 +11,10 @@
 
 auto exhausted(const failure &Last, const bool MayLand,
                const config_version Seen) -> apply_outcome {
-  if (!MayLand)
+  if (!MayLand && Last.Code == result_code::Internal)
     return refuse(Last, Seen);
+  if (!MayLand)
+    return refuse({result_code::PlatformUnavailable, Last.Detail}, Seen);
   return {apply_state::Unknown,
           result_code::ConfigOutcomeUnknown,
           Seen,
--- a/src/config/tests/acceptance_tests.cpp
+++ b/src/config/tests/acceptance_tests.cpp
@@ -173,6 +173,14 @@
          apply_state::NotAccepted, result_code::PlatformUnavailable);
 }
 
+BOOST_AUTO_TEST_CASE(content_that_stays_unwritten_leaves_nothing_unknown) {
+  fake_store Store([](const platform::call_kind Kind, const std::string &) {
+    return platform::isWrite(Kind) ? store_fault::LostWrite : store_fault::None;
+  });
+  expect(makeAcceptance().apply(Store, request(9, "c", 0), {}),
+         apply_state::NotAccepted, result_code::PlatformUnavailable);
+}
+
 BOOST_AUTO_TEST_CASE(
     a_store_that_lost_its_head_never_reverts_what_is_in_force) {
   fake_store Store;
--- a/src/config/types/applyoutcome.h
+++ b/src/config/types/applyoutcome.h
@@ -8,7 +8,9 @@
 
 namespace tarragon::config {
 
-/// What became of an operator's change.
+/// What became of an operator's change. NotAccepted with another code than
+/// ConfigConflict speaks of one call only: when an earlier call with the same
+/// change id ended as Unknown, the change stays Unknown.
 enum class apply_state { Accepted, NotAccepted, Unknown };
 
 struct apply_outcome {
