Keep answers at hand when no time is left for a restart

Change: restart only when as much time is left as the round took, or when nothing was answered. Tests for attempts counted once, restarts after learning, the code after a restart, a second finish and an older life.

--- a/src/once/tests/ticketledger_tests.cpp
+++ b/src/once/tests/ticketledger_tests.cpp
@@ -226,9 +226,13 @@
   BOOST_TEST(
       (codeOf(Next.begin(Ticket, 1, Now)) == result_code::OutcomeUnknown));
   Leaving.finish(Ticket, answerOf(result_code::Ok), Now);
+  Leaving.finish(Ticket, answerOf(result_code::Failed), Now);
   BOOST_TEST(Leaving.settled());
   Next.adopt(Leaving.sealedCopy(), Now);
   BOOST_TEST((codeOf(Next.begin(Ticket, 1, Now)) == result_code::Ok));
+  ticket_ledger Newer("a", 2, Now, Lifetime);
+  BOOST_TEST(
+      (codeOf(Newer.begin(Ticket, 1, Now)) == result_code::OutcomeUnknown));
   Next.expire(Now + 3 * Lifetime);
   BOOST_TEST(std::holds_alternative<forward_to>(Next.begin(Ticket, 1, Now)));
 }
--- a/src/query/scatterquery.cpp
+++ b/src/query/scatterquery.cpp
@@ -77,6 +77,7 @@
 
 auto scatter_query::beginAt(pinned_snapshot Pinned, const time_point Now)
     -> query_actions {
+  RoundBegan = Now;
   LearnBefore = Now + Contract->Deadline / LearnShare;
   Next.reset();
   std::uint32_t FirstTry = 0;
@@ -189,7 +190,7 @@
 }
 
 auto scatter_query::mayRestart(const time_point Now) const -> bool {
-  if (Token || RestartsLeft == 0 || Now >= SendBefore)
+  if (Token || RestartsLeft == 0 || !timeForRound(Now))
     return false;
   const bool AnyWrong =
       std::any_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
@@ -203,6 +204,15 @@
   });
 }
 
+/// Whether a new round is worth what it throws away: answers at hand are kept
+/// unless as much time is left as they took.
+auto scatter_query::timeForRound(const time_point Now) const -> bool {
+  if (Now >= SendBefore)
+    return false;
+  const bool NothingAnswered = countCoverage(Parts).Answered == 0;
+  return NothingAnswered || Now - RoundBegan <= SendBefore - Now;
+}
+
 auto scatter_query::otherSnapshot(const version_table &Versions) const
     -> std::optional<pinned_snapshot> {
   auto Newest = Versions.pin(*Deployment, *Contract);
--- a/src/query/scatterquery.h
+++ b/src/query/scatterquery.h
@@ -56,6 +56,7 @@
   auto otherSnapshot(const version_table &Versions) const
       -> std::optional<pinned_snapshot>;
   auto anyPending() const -> bool;
+  auto timeForRound(time_point Now) const -> bool;
   auto enoughForEarly() const -> bool;
   auto pageEnd() const -> std::size_t;
   auto cancelPending() const -> query_actions;
@@ -75,6 +76,7 @@
   time_point EarlyAt;
   time_point SendBefore; ///< deadline of subrequests
   time_point Deadline;
+  time_point RoundBegan;  ///< when the present snapshot's parts were asked
   time_point LearnBefore; ///< end of the wait for what targets hold
   pinned_snapshot Snapshot;
   std::optional<pinned_snapshot> Next; ///< to restart at by LearnBefore
--- a/src/query/tests/scatterquery_tests.cpp
+++ b/src/query/tests/scatterquery_tests.cpp
@@ -116,9 +116,9 @@
   const subrequest Again = sentAgain();
   BOOST_TEST(Again.Suspect);
   BOOST_TEST(Again.Id.Try == 1U);
-  Target = "t1";
   settle(Again, attempt_outcome::Crashed);
   BOOST_TEST(Actions.empty());
+  Target = "t1";
   settle(Sent[1], attempt_outcome::Crashed); // two targets: likely the request
   BOOST_TEST(Actions.empty());
 }
@@ -142,13 +142,46 @@
     Table.recordHeld(Group, {{4, 2}, {5, 3}}, Now);
   start();
   Table.recordHeld("b", {{4, 2}}, Now);
+  settle(Sent[0], attempt_outcome::Answered);
   settle(Sent[1], attempt_outcome::WrongVersion);
-  BOOST_REQUIRE(Actions.size() == 4U); // two cancelled, two shards anew
-  BOOST_TEST((std::get<cancel_subrequest>(Actions[1]).Id == Sent[2].Id));
+  BOOST_REQUIRE(Actions.size() == 3U); // one cancelled, two shards anew
+  BOOST_TEST((std::get<cancel_subrequest>(Actions[0]).Id == Sent[2].Id));
   BOOST_TEST(sentAgain().Version == 4U);
   BOOST_TEST(sentAgain().Id.Try == 1U);
+  const auto First = std::get<send_subrequest>(Actions[1]).Request;
+  const subrequest Last = sentAgain();
   settle(Sent[2], attempt_outcome::Answered);
   BOOST_TEST(Actions.empty());
+  settle(First, attempt_outcome::Shed);
+  settle(Last, attempt_outcome::Shed); // a shard ran before, so no not-run
+  BOOST_TEST((answer().Code == result_code::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_answers_when_no_time_is_left_for_a_new_round) {
+  for (const char *Group : {"a", "b", "c"})
+    Table.recordHeld(Group, {{4, 2}, {5, 3}}, Now);
+  start();
+  Table.recordHeld("b", {{4, 2}}, Now);
+  Now += milliseconds(100);
+  settle(Sent[0], attempt_outcome::Answered);
+  settle(Sent[2], attempt_outcome::Answered);
+  settle(Sent[1], attempt_outcome::WrongVersion);
+  BOOST_TEST((answer().Code == result_code::Partial));
+}
+
+BOOST_AUTO_TEST_CASE(learns_versions_first_and_may_still_restart) {
+  Table = {};
+  start();
+  BOOST_TEST(Sent[0].Version == 0U); // one a group: what do you hold?
+  for (const subrequest &Request : Sent) {
+    Table.recordHeld(Request.Group, {{4, 3}, {5, 3}}, Now);
+    settle(Request, attempt_outcome::WrongVersion);
+  }
+  const subrequest Newest = sentAgain();
+  BOOST_TEST(Newest.Version == 5U);
+  Table.recordHeld(Newest.Group, {{4, 3}}, Now);
+  settle(Newest, attempt_outcome::WrongVersion);
+  BOOST_TEST(sentAgain().Version == 4U);
 }
 
 BOOST_AUTO_TEST_CASE(token_is_bound_to_its_query_and_snapshot) {
--- a/src/query/tests/schedule_tests.cpp
+++ b/src/query/tests/schedule_tests.cpp
@@ -162,6 +162,7 @@
 
   auto tell(const settlement &Settlement, sent_subrequest *One) -> void {
     if (One != nullptr) {
+      Attempts += One->Live ? Settlement.Attempts : 0;
       One->Live = false;
       One->ToldNotRun = Settlement.ProvenNotRun;
       One->InDoubt = !Settlement.ProvenNotRun && !One->ToldRight &&
@@ -212,6 +213,7 @@
       if (Each.starts_with(std::to_string(Version) + "/"))
         Answered.insert(Each);
     RC_ASSERT(Answer->Version == Version);
+    RC_ASSERT(Answer->Attempts == Attempts);
     RC_ASSERT(Coverage.Asked ==
               (Contract.Merge == merge_kind::ByKey ? 1 : ShardsOf[Version]));
     RC_ASSERT(Coverage.Answered == Answered.size());
@@ -255,6 +257,7 @@
   index_version Version = 0;
   std::vector<sent_subrequest> Sent;
   std::size_t Over = 0;
+  std::uint32_t Attempts = 0;
   std::vector<settlement> Told;
   std::set<std::string> Right;
   std::optional<query_answer> Answer;
