--- a/src/membership/internal/memberbook.cpp
+++ b/src/membership/internal/memberbook.cpp
@@ -53,13 +53,15 @@
   member_record &Record = Known ? Found->second : Records[Id];
   if (!NewLife && !replacesState(Update, Record)) {
     const bool NowLeaving = leaves(Update) && !Record.Leaving;
-    Digest ^= Record.digest();
-    Record.Leaving = Record.Leaving || NowLeaving;
-    Digest ^= Record.digest();
-    return NowLeaving ? change::Changed : change::None;
+    if (!NowLeaving)
+      return change::None;
+    remove(Record);
+    Record.Leaving = true;
+    add(Record);
+    return change::Changed;
   }
   if (Known)
-    Digest ^= Record.digest();
+    remove(Record);
   const bool StayedLeaving = !NewLife && Record.Leaving;
   if (NewLife) {
     setDeadline(Id, Record, std::nullopt);
@@ -69,7 +71,7 @@
   Record.Refutation = Update.Refutation;
   Record.Leaving = StayedLeaving || leaves(Update);
   setState(Record, stored(Update.Instance.State), Suspicion, Forget, Now);
-  Digest ^= Record.digest();
+  add(Record);
   return NewLife ? change::Learnt : change::Changed;
 }
 
@@ -79,8 +81,10 @@
   if (Found == Records.end() ||
       Found->second.Instance.State != instance_state::Live)
     return false;
+  remove(Found->second);
   setState(Found->second, instance_state::Suspect, Suspicion, milliseconds{0},
            Now);
+  add(Found->second);
   return true;
 }
 
@@ -91,11 +95,12 @@
   while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
     const instance_id Id = Deadlines.begin()->second;
     member_record &Record = Records[Id];
-    Digest ^= Record.digest(); // a dead one's is nought
+    remove(Record);
     if (Record.alive())
       Died.push_back(Id);
     if (Record.alive() || Listed.contains(Id)) {
       setState(Record, instance_state::Dead, milliseconds{0}, Again, Now);
+      add(Record);
       continue;
     }
     setDeadline(Id, Record, std::nullopt);
@@ -115,8 +120,15 @@
 auto member_book::setConfig(const instance_id &Id, const config_version Version)
     -> void {
   const auto Found = Records.find(Id);
-  if (Found != Records.end())
-    Found->second.Config = Version;
+  if (Found == Records.end() || Found->second.Config == Version)
+    return;
+  remove(Found->second);
+  Found->second.Config = Version;
+  add(Found->second);
+}
+
+auto member_book::newestConfig() const -> const member_record * {
+  return Configs.empty() ? nullptr : find(Configs.rbegin()->second);
 }
 
 auto member_book::setListed(const std::vector<instance> &List,
@@ -160,6 +172,19 @@
   return Known;
 }
 
+auto member_book::remove(const member_record &Record) -> void {
+  ++Revision;
+  Digest ^= Record.digest();
+  Configs.erase({Record.Config, Record.Instance.Id});
+}
+
+auto member_book::add(const member_record &Record) -> void {
+  ++Revision;
+  Digest ^= Record.digest();
+  if (Record.alive() && Record.Config > 0)
+    Configs.emplace(Record.Config, Record.Instance.Id);
+}
+
 auto member_book::setDeadline(const instance_id &Id, member_record &Record,
                               const std::optional<time_point> Deadline)
     -> void {
--- a/src/membership/internal/memberbook.h
+++ b/src/membership/internal/memberbook.h
@@ -39,6 +39,12 @@
   auto records() const -> const std::map<instance_id, member_record> & {
     return Records;
   }
+  /// Grows whenever any record changes in what others see of it.
+  auto revision() const -> std::uint64_t { return Revision; }
+
+  /// The live member that told the highest configuration, or null.
+  auto newestConfig() const -> const member_record *;
+
   auto digest() const -> std::uint64_t { return Digest; }
   auto nextDeadline() const -> std::optional<time_point>;
 
@@ -47,6 +53,8 @@
   auto contactAfter(const instance_id &Last) const -> std::vector<instance>;
 
 private:
+  auto remove(const member_record &Record) -> void;
+  auto add(const member_record &Record) -> void;
   auto setDeadline(const instance_id &Id, member_record &Record,
                    std::optional<time_point> Deadline) -> void;
   auto setState(member_record &Record, instance_state State,
@@ -56,6 +64,8 @@
 
   std::map<instance_id, member_record> Records;
   std::uint64_t Digest = 0; ///< all records' digests, by exclusive or
+  std::uint64_t Revision = 0;
+  std::set<std::pair<config_version, instance_id>> Configs; ///< of live ones
   std::map<instance_id, instance> Listed;
   std::set<instance_id> Contacts; ///< listed but unheard, or dead
   std::set<std::pair<time_point, instance_id>> Deadlines;
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -40,6 +40,11 @@
   /// Every instance known, itself included, by id.
   auto members() const -> std::vector<instance>;
 
+  /// Grows whenever members() or newestConfig() may have changed.
+  auto revision() const -> std::uint64_t {
+    return Book.revision() + OwnRevision;
+  }
+
   /// The highest configuration version any live peer told, and who.
   auto newestConfig() const
       -> std::optional<std::pair<instance, config_version>>;
@@ -103,6 +108,7 @@
   std::uint64_t Refutation = 0;
   bool Leaving = false;
   bool Replaced = false;
+  std::uint64_t OwnRevision = 0;
   config_version Config = 0;
   membership_settings Settings;
   std::mt19937_64 Random;
--- a/src/membership/tests/membertable_tests.cpp
+++ b/src/membership/tests/membertable_tests.cpp
@@ -243,3 +243,25 @@
   BOOST_TEST(!Network.table("n0").reachesPeers(Network.now()));
   BOOST_TEST(Network.table("n0").members().size() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(the_revision_grows_with_every_change_and_only_then) {
+  auto Network = settled(1, 7);
+  auto &Table = Network.table("n0");
+  const auto Quiet = Table.revision();
+  Network.run(10s);
+  BOOST_TEST(Table.revision() == Quiet);
+  auto Seen = Table.members();
+  auto Revision = Quiet;
+  Network.leave("n2");
+  Network.stop("n3");
+  Network.start(numbered(8), fleet(7));
+  for (int Step = 0; Step < 100; ++Step) {
+    Network.run(50ms);
+    if (Table.members() != Seen)
+      BOOST_TEST(Table.revision() > Revision);
+    Seen = Table.members();
+    Revision = Table.revision();
+  }
+  BOOST_TEST(Revision > Quiet);
+  BOOST_TEST(Seen.size() == 8U);
+}
--- a/src/membership/types/gossipmessage.h
+++ b/src/membership/types/gossipmessage.h
@@ -16,7 +16,7 @@
   std::uint64_t Refutation = 0; ///< of the sender; see member_update
   instance_id About;            ///< PingRequest and its Ack: who is probed
   config_version Config = 0;    ///< in force at the sender
-  std::uint64_t Digest = 0;     ///< of the live members the sender knows
+  std::uint64_t Digest = 0;     ///< of the live members known; 0: not told
   std::vector<member_update> Updates;
   std::vector<member_update> Rows; ///< Ack: of the sender's table, no news
 };
