Add the operators' tool tarragonctl

Cause: Operators had no way to drive the admin API. Change: a library with tested commands and a thin program. A change keeps its id through lost replies and other entries; only acceptance or a lost race settles a change of which a sending may still land. JSON is read by the one reader of the global module; times, addresses and HTTP exchanges are shared with the tool. Conclusion: works against scripted entries; not yet run against tarragond.

--- a/src/config/internal/addresstext.cpp
+++ b/src/config/addresstext.cpp
@@ -1,4 +1,4 @@
-#include "config/internal/addresstext.h"
+#include "config/addresstext.h"
 
 #include <arpa/inet.h>
 
--- a/src/config/deploymentdiff.cpp
+++ b/src/config/deploymentdiff.cpp
@@ -1,5 +1,5 @@
 #include "config/deploymentfile.h"
-#include "config/internal/timetext.h"
+#include "config/timetext.h"
 
 #include <algorithm>
 #include <set>
--- a/src/config/internal/headcodec.cpp
+++ b/src/config/internal/headcodec.cpp
@@ -1,8 +1,8 @@
 #include "config/internal/headcodec.h"
 
-#include <json/json.h>
+#include "global/json.h"
 
-#include <memory>
+#include <json/json.h>
 
 namespace tarragon::config {
 
@@ -27,20 +27,6 @@
       Root["operator"].asString(), Root["content_hash"].asString()};
 }
 
-auto parse(const std::string &Text) -> Json::Value {
-  static const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  Json::Value Root;
-  const char *const Begin = Text.data();
-  try {
-    if (!Reader->parse(Begin, Begin + Text.size(), &Root, nullptr))
-      return {};
-  } catch (const Json::Exception &) {
-    return {};
-  }
-  return Root;
-}
-
 } // namespace
 
 auto writeHead(const config_head &Head) -> std::string {
@@ -49,13 +35,14 @@
   Root["recent"] = Json::Value(Json::arrayValue);
   for (const accepted_change &Change : Head.Recent)
     Root["recent"].append(toJson(Change));
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, Root);
+  return writeJson(Root);
 }
 
 auto readHead(const std::string &Text) -> std::optional<config_head> {
-  const Json::Value Root = parse(Text);
+  const auto Parsed = parseJson(Text);
+  if (!Parsed)
+    return std::nullopt;
+  const Json::Value &Root = Parsed.value();
   const auto InForce = toChange(Root);
   if (!InForce || !Root["chunks"].isUInt64() || !Root["recent"].isArray())
     return std::nullopt;
--- a/src/config/internal/mappingreader.cpp
+++ b/src/config/internal/mappingreader.cpp
@@ -1,6 +1,6 @@
 #include "config/internal/mappingreader.h"
 
-#include "config/internal/timetext.h"
+#include "config/timetext.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/config/internal/servicereader.cpp
+++ b/src/config/internal/servicereader.cpp
@@ -1,6 +1,6 @@
 #include "config/internal/servicereader.h"
 
-#include "config/internal/addresstext.h"
+#include "config/addresstext.h"
 #include "config/internal/mappingreader.h"
 
 #include <algorithm>
--- a/src/config/internal/timetext.cpp
+++ b/src/config/timetext.cpp
@@ -1,4 +1,4 @@
-#include "config/internal/timetext.h"
+#include "config/timetext.h"
 
 #include <array>
 #include <charconv>
--- /dev/null
+++ b/src/ctl/tests/command_tests.cpp
@@ -0,0 +1,199 @@
+#include <boost/test/unit_test.hpp>
+
+#include "ctl/commandrunner.h"
+#include "ctl/tests/fakechannel.h"
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+using namespace tarragon;
+using namespace tarragon::ctl;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto demoText() -> std::string {
+  std::ifstream File(std::string(TARRAGON_SOURCE_DIR) + "/examples/demo.yaml");
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+/// Runs one command against two scripted entries.
+class session {
+public:
+  explicit session(const command Command, fake_channel::script Script)
+      : Link(std::move(Script)) {
+    Options.Command = Command;
+    Options.Entries = {"one", "two"};
+    Options.ChangeId = "c1";
+    Options.Operator = "ann";
+    Options.Timeout = 5s;
+  }
+
+  auto run(const std::string &Text = demoText()) -> exit_code {
+    return command_runner<fake_channel>(Link, Options, {Out, Remarks})
+        .run(Text);
+  }
+
+  auto shows(const std::string &Part) const -> bool {
+    return (Out.str() + Remarks.str()).find(Part) != std::string::npos;
+  }
+
+  ctl_options Options;
+  fake_channel Link;
+  std::ostringstream Out;
+  std::ostringstream Remarks;
+};
+
+constexpr const char *Accepted =
+    R"({"state":"accepted","code":0,"result":"ok","version":8})";
+
+auto statusBody(const int First, const int Second) -> std::string {
+  return R"({"instance":"e1","config_version":8,"members":[)"
+         R"({"id":"e1","state":"live","config_version":)" +
+         std::to_string(First) +
+         R"(},{"id":"e2","state":"live","config_version":)" +
+         std::to_string(Second) +
+         R"(},{"id":"e3","state":"dead","config_version":1}]})";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(validate_names_places_without_an_entry) {
+  session Valid(command::Validate,
+                [](const entry_call &) { return noReply(); });
+  BOOST_TEST((Valid.run() == exit_code::Ok));
+  BOOST_TEST(Valid.shows("1 services, 3 contracts, 6 targets"));
+  session Faulty(command::Validate,
+                 [](const entry_call &) { return noReply(); });
+  Faulty.Options.File = "f.yaml";
+  BOOST_TEST((Faulty.run(demoText() + "odd: 1\n") == exit_code::Refused));
+  BOOST_TEST(Faulty.shows("f.yaml:39:1: config_unknown_key: "));
+  BOOST_TEST(Faulty.Link.Calls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(reading_goes_on_to_the_next_entry) {
+  session Status(command::Status, [](const entry_call &Call) {
+    return Call.Entry == "one" ? notSent() : replied(statusBody(8, 7));
+  });
+  BOOST_TEST((Status.run() == exit_code::Ok));
+  BOOST_TEST(Status.shows("e2"));
+  session None(command::Status, [](const entry_call &) { return notSent(); });
+  BOOST_TEST((None.run() == exit_code::Unreachable));
+  BOOST_TEST(None.Link.Calls.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(apply_keeps_its_change_through_a_lost_reply) {
+  int Polls = 0;
+  std::set<std::string> Bodies;
+  session Apply(command::Apply, [&](const entry_call &Call) {
+    if (Call.Path == "/admin/v1/config")
+      return replied(R"({"version":7})");
+    if (Call.Path == "/admin/v1/status")
+      return replied(statusBody(8, ++Polls < 5 ? 7 : 8));
+    Bodies.insert(Call.Body);
+    return Call.Entry == "one" ? noReply() : replied(Accepted);
+  });
+  BOOST_TEST((Apply.run() == exit_code::Ok));
+  BOOST_TEST_REQUIRE(Bodies.size() == 1U);
+  BOOST_TEST(Bodies.begin()->find(R"("base":7)") != std::string::npos);
+  BOOST_TEST(Bodies.begin()->find(R"("change_id":"c1")") != std::string::npos);
+  BOOST_TEST(Polls == 5);
+  BOOST_TEST(Apply.shows("accepted as version 8"));
+  BOOST_TEST(Apply.shows("in force at e1, e2"));
+}
+
+BOOST_AUTO_TEST_CASE(apply_names_entries_that_lag) {
+  session Apply(command::Apply, [&](const entry_call &Call) {
+    return replied(Call.Method == "POST" ? Accepted : statusBody(8, 7));
+  });
+  Apply.Options.Base = 7;
+  BOOST_TEST((Apply.run() == exit_code::Unknown));
+  BOOST_TEST(Apply.shows("accepted as version 8"));
+  BOOST_TEST(Apply.shows("not seen in force in time at: e2"));
+}
+
+BOOST_AUTO_TEST_CASE(apply_says_unknown_when_nothing_settles_it) {
+  session Apply(command::Apply, [&](const entry_call &Call) {
+    return Call.Entry == "one" ? noReply() : notSent();
+  });
+  Apply.Options.Base = 7;
+  BOOST_TEST((Apply.run() == exit_code::Unknown));
+  BOOST_TEST(Apply.shows("finish with --change-id c1"));
+  BOOST_TEST(Apply.Link.Calls.size() > 4U);
+}
+
+BOOST_AUTO_TEST_CASE(apply_tells_the_loser_who_won) {
+  session Apply(command::Apply, [&](const entry_call &) {
+    return replied(R"({"state":"not_accepted","code":500,)"
+                   R"("result":"config_conflict","detail":"too late",)"
+                   R"("winner":"bea","differences":["contract c: added"]})");
+  });
+  Apply.Options.Base = 7;
+  BOOST_TEST((Apply.run() == exit_code::Refused));
+  BOOST_TEST(Apply.shows("change of bea"));
+  BOOST_TEST(Apply.shows("contract c: added"));
+}
+
+BOOST_AUTO_TEST_CASE(apply_of_a_faulty_file_calls_nobody) {
+  session Apply(command::Apply, [](const entry_call &) { return noReply(); });
+  BOOST_TEST((Apply.run("{}") == exit_code::Refused));
+  BOOST_TEST(Apply.Link.Calls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(query_keeps_its_ticket_through_a_lost_answer) {
+  std::vector<std::string> Bodies;
+  session Query(command::Query, [&](const entry_call &Call) {
+    if (Call.Path.starts_with("/v1/tickets"))
+      return replied(R"({"tickets":["T1"]})");
+    Bodies.push_back(Call.Body);
+    return Bodies.size() == 1
+               ? noReply()
+               : replied(R"({"code":0,"result":"ok","items":[{"key":"k"}]})");
+  });
+  Query.Options.Once = true;
+  BOOST_TEST((Query.run() == exit_code::Ok));
+  BOOST_TEST_REQUIRE(Bodies.size() == 2U);
+  BOOST_TEST(Bodies[0] == Bodies[1]);
+  BOOST_TEST(Bodies[0].find(R"("ticket":"T1")") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(query_does_not_take_a_refusal_for_a_lost_answer) {
+  session Query(command::Query, [&](const entry_call &Call) {
+    return Call.Entry == "one" ? noReply() : replied(R"({"code":203})");
+  });
+  BOOST_TEST((Query.run() == exit_code::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(query_ends_as_its_code_says) {
+  const std::vector<std::pair<int, exit_code>> Cases{
+      {0, exit_code::Ok},        {1, exit_code::Ok},
+      {200, exit_code::Refused}, {400, exit_code::Unknown},
+      {300, exit_code::Refused}, {109, exit_code::Refused}};
+  for (const auto &[Code, Exit] : Cases) {
+    session Query(command::Query, [Number = Code](const entry_call &) {
+      return replied("{\"code\":" + std::to_string(Number) + "}");
+    });
+    BOOST_TEST((Query.run() == Exit));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(json_output_is_the_reply) {
+  session Burn(command::Burn, [](const entry_call &) {
+    return replied(R"({"contracts":[{"contract":"search"}]})");
+  });
+  Burn.Options.Output = output_format::Json;
+  BOOST_TEST((Burn.run() == exit_code::Ok));
+  BOOST_TEST(Burn.shows(R"("contract" : "search")"));
+}
+
+BOOST_AUTO_TEST_CASE(refusals_are_told_by_name) {
+  session Plan(command::Plan, [](const entry_call &) {
+    return readReply(401, R"({"code":104,"result":"unauthorized",)"
+                          R"("detail":"the bearer token is not known"})");
+  });
+  BOOST_TEST((Plan.run() == exit_code::Refused));
+  BOOST_TEST(Plan.shows("unauthorized: the bearer token is not known"));
+}
--- /dev/null
+++ b/src/ctl/views.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "config/types/configfault.h"
+
+#include <json/forwards.h>
+
+#include <string>
+#include <vector>
+
+namespace tarragon::ctl {
+
+/// The faults of a file, one a line: "FILE:line:column: code: detail".
+auto faultsText(const std::string &File,
+                const std::vector<config::config_fault> &Faults) -> std::string;
+
+/// Each turns a reply of the admin or the caller API into text for a
+/// terminal.
+auto statusText(const Json::Value &Body) -> std::string;
+auto entriesText(const Json::Value &Body) -> std::string;
+auto snapshotsText(const Json::Value &Body) -> std::string;
+auto burnText(const Json::Value &Body) -> std::string;
+auto planText(const Json::Value &Body) -> std::string;
+auto applyText(const Json::Value &Body) -> std::string;
+auto queryText(const Json::Value &Body) -> std::string;
+
+} // namespace tarragon::ctl
--- a/src/platform/internal/exchange.cpp
+++ b/src/platform/httpexchange.cpp
@@ -1,5 +1,6 @@
-#include "platform/internal/exchange.h"
+#include "platform/httpexchange.h"
 
+#include <memory>
 namespace tarragon::platform {
 
 namespace {
@@ -19,14 +20,20 @@
   return Length;
 }
 
-auto makeHeaders() -> header_list {
+auto addHeader(header_list &Headers, const std::string &Line) -> void {
+  curl_slist *const Longer = curl_slist_append(Headers.get(), Line.c_str());
+  if (Longer == nullptr)
+    return;
+  static_cast<void>(Headers.release());
+  Headers.reset(Longer);
+}
+
+auto makeHeaders(const exchange_request &Request) -> header_list {
   header_list Headers(nullptr, &curl_slist_free_all);
-  for (const char *const Line :
-       {"Expect:", "Content-Type: application/octet-stream"})
-    if (curl_slist *const Longer = curl_slist_append(Headers.get(), Line)) {
-      static_cast<void>(Headers.release());
-      Headers.reset(Longer);
-    }
+  addHeader(Headers, "Expect:");
+  addHeader(Headers, "Content-Type: application/octet-stream");
+  if (!Request.Authorization.empty())
+    addHeader(Headers, "Authorization: " + Request.Authorization);
   return Headers;
 }
 
@@ -44,16 +51,16 @@
                    static_cast<long>(Request.Timeout.count()));
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &collect);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Body);
+  if (Request.Method != "GET" && Request.Method != "DELETE") {
+    curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(Request.Body.size()));
+    curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Request.Body.c_str());
+  }
   if (!Request.Write)
     return;
   // On a kept connection that died libcurl would send the write once more.
   curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt(Handle, CURLOPT_FORBID_REUSE, 1L);
-  if (Request.Method == "PUT") {
-    curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(Request.Body.size()));
-    curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Request.Body.c_str());
-  }
 }
 
 /// Whether no byte of the request can have reached the platform.
@@ -74,7 +81,7 @@
 auto runExchange(CURL *const Handle, const exchange_request &Request)
     -> exchange_reply {
   exchange_reply Reply;
-  const header_list Headers = makeHeaders();
+  const header_list Headers = makeHeaders(Request);
   setOptions(Handle, Request, Headers.get(), Reply.Body);
   const CURLcode Code = curl_easy_perform(Handle);
   if (Code != CURLE_OK) {
--- a/src/platform/internal/exchange.h
+++ b/src/platform/httpexchange.h
@@ -1,20 +1,22 @@
 #pragma once
 
 #include "global/types/time.h"
-#include "platform/internal/curlpool.h"
+
+#include <curl/curl.h>
 
 #include <string>
 
 namespace tarragon::platform {
 
-/// One HTTP request to the platform.
+/// One HTTP request.
 struct exchange_request {
   std::string Method;
   std::string Url;
   std::string Body;
-  bool Write = false;
-  milliseconds ConnectTimeout;
-  milliseconds Timeout;
+  bool Write = false;        ///< must not be sent twice by the library
+  std::string Authorization; ///< value of the header; empty: none
+  milliseconds ConnectTimeout{};
+  milliseconds Timeout{};
 };
 
 /// How far an exchange came.
--- a/src/platform/internal/platformjson.cpp
+++ b/src/platform/internal/platformjson.cpp
@@ -1,25 +1,17 @@
 #include "platform/internal/platformjson.h"
 
-#include <json/json.h>
+#include "global/json.h"
 
-#include <memory>
+#include <json/json.h>
 
 namespace tarragon::platform {
 
 namespace {
 
+/// Null when \p Body is no JSON object.
 auto parse(const std::string &Body) -> Json::Value {
-  static const Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  Json::Value Root;
-  const char *const Begin = Body.data();
-  try {
-    if (!Reader->parse(Begin, Begin + Body.size(), &Root, nullptr))
-      return {};
-  } catch (const Json::Exception &) {
-    return {};
-  }
-  return Root;
+  auto Root = parseJson(Body);
+  return Root ? std::move(Root.value()) : Json::Value{};
 }
 
 /// The member of an object; null when absent or \p Root is no object.
--- a/src/platform/platformclient.cpp
+++ b/src/platform/platformclient.cpp
@@ -2,7 +2,8 @@
 
 #include "platform/callbudget.h"
 #include "platform/circuit.h"
-#include "platform/internal/exchange.h"
+#include "platform/httpexchange.h"
+#include "platform/internal/curlpool.h"
 #include "platform/internal/platformjson.h"
 
 #include <mutex>
@@ -132,8 +133,12 @@
   const char *const Method = Kind == call_kind::Put      ? "PUT"
                              : Kind == call_kind::Remove ? "DELETE"
                                                          : "GET";
-  auto Reply = runExchange(Handle.get(), {Method, Base + Path, std::move(Body),
-                                          Write, Settings.ConnectTimeout,
+  auto Reply = runExchange(Handle.get(), {Method,
+                                          Base + Path,
+                                          std::move(Body),
+                                          Write,
+                                          {},
+                                          Settings.ConnectTimeout,
                                           Settings.CallTimeout + ExtraWait});
   Pool.giveBack(std::move(Handle));
   record(Kind, Reply);
