--- a/src/membership/addressranking.cpp
+++ b/src/membership/addressranking.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace tarragon::membership {
 
@@ -11,21 +12,28 @@
 
 using pointers = std::vector<const instance *>;
 
-/// The first by rotation, so that firsts spread evenly; the rest by hash, so
-/// that the callers of a lost instance spread over all others.
+/// The best of \p Group. The first by rotation, so that firsts spread evenly;
+/// the rest by hash, so that the callers of a lost instance spread over all
+/// others.
 auto spreadOut(pointers Group, const std::uint64_t Spread) -> pointers {
   if (Group.empty())
     return Group;
   const auto ById = [](const instance *Left, const instance *Right) {
     return Left->Id < Right->Id;
   };
-  std::sort(Group.begin(), Group.end(), ById);
+  if (!std::is_sorted(Group.begin(), Group.end(), ById))
+    std::sort(Group.begin(), Group.end(), ById);
   std::swap(Group.front(), Group[Spread % Group.size()]);
-  const auto ByHash = [Spread](const instance *Left, const instance *Right) {
-    return hash64(Left->Id, Spread) < hash64(Right->Id, Spread);
-  };
-  std::sort(std::next(Group.begin()), Group.end(), ByHash);
-  return Group;
+  std::vector<std::pair<std::uint64_t, const instance *>> Rest;
+  for (std::size_t Index = 1; Index < Group.size(); ++Index)
+    Rest.emplace_back(hash64(Group[Index]->Id, Spread), Group[Index]);
+  const std::size_t Kept = std::min(Rest.size(), MostAddresses);
+  const auto End = std::next(Rest.begin(), static_cast<std::ptrdiff_t>(Kept));
+  std::partial_sort(Rest.begin(), End, Rest.end());
+  pointers Best{Group.front()};
+  for (auto Entry = Rest.begin(); Entry != End; ++Entry)
+    Best.push_back(Entry->second);
+  return Best;
 }
 
 auto append(const pointers &Group, const std::size_t Most,
--- a/src/membership/ownermap.cpp
+++ b/src/membership/ownermap.cpp
@@ -3,7 +3,6 @@
 #include "global/hash.h"
 
 #include <algorithm>
-#include <string>
 #include <tuple>
 
 namespace tarragon::membership {
@@ -33,19 +32,27 @@
 
 auto ownerOf(const replica_group &Group, const std::vector<instance> &Members)
     -> std::optional<instance_id> {
-  using score = std::tuple<std::ptrdiff_t, std::uint64_t, instance_id>;
-  std::optional<score> Best;
+  const std::uint64_t Seed = hash64(Group.Id);
+  const instance *Best = nullptr;
+  std::ptrdiff_t BestTargets = 0;
+  std::uint64_t BestWeight = 0;
   for (const instance &Member : Members) {
     if (!mayOwn(Member.State))
       continue;
-    const std::uint64_t Weight = hash64(Member.Id + '\n' + Group.Id);
-    score Score{targetsIn(Member.Domain, Group), Weight, Member.Id};
-    if (!Best || Score > *Best)
-      Best = std::move(Score);
+    const std::ptrdiff_t Targets = targetsIn(Member.Domain, Group);
+    if (Best != nullptr && Targets < BestTargets)
+      continue;
+    const std::uint64_t Weight = hash64(Member.Id, Seed);
+    if (Best != nullptr && std::tie(Targets, Weight, Member.Id) <=
+                               std::tie(BestTargets, BestWeight, Best->Id))
+      continue;
+    Best = &Member;
+    BestTargets = Targets;
+    BestWeight = Weight;
   }
-  if (!Best)
+  if (Best == nullptr)
     return std::nullopt;
-  return std::get<instance_id>(*Best);
+  return Best->Id;
 }
 
 } // namespace tarragon::membership
