Check the dispatcher by random schedules and behaviour tests

Cause: the promises of the dispatcher were only checked by the queueing model. Change: RapidCheck schedules check limits, one settlement in time, single runs, leaving targets, the budget, suspects and proven not run; tests of fairness, early refusal, hedges, ejection and held versions. Equal deadlines count as ahead in the wait estimate, an estimate without samples refuses nothing, and a target is slow only when 5 ms behind the best.

--- a/src/admission/internal/dispatchercore.cpp
+++ b/src/admission/internal/dispatchercore.cpp
@@ -57,22 +57,28 @@
   enqueue(Request, Now);
   fillSlots(Now);
   const auto Left = Requests.find(Number);
-  if (Left == Requests.end() || !Left->second.Queued)
+  if (Left == Requests.end() || !Request.Queued || !Request.Stats->known())
     return;
-  const contract_stats &Known = *Request.Stats;
-  const auto Finish = Now + Ahead / Pool.slots() + Known.needed();
-  if (Known.known() && Finish > Request.Request.Deadline)
+  const auto Finish = Now + Ahead / Pool.slots() + needed(Request);
+  if (Finish > Request.Request.Deadline)
     giveUp(Request, Now);
 }
 
+/// What a waiting request should have left when it starts; 0 while unknown.
+auto dispatcher_core::needed(const request_state &Request) const
+    -> microseconds {
+  if (!Request.Stats->known())
+    return microseconds{0};
+  const auto Whole = Request.Request.Deadline - Request.SubmittedAt;
+  return std::min(microsecondsOf(Whole) / 2, Request.Stats->needed());
+}
+
 /// Queues \p Request until shortly before its deadline.
 auto dispatcher_core::enqueue(request_state &Request, const time_point Now)
     -> void {
   Queue.push(Request);
-  const time_point Deadline = Request.Request.Deadline;
-  const microseconds Half = microsecondsOf(Deadline - Request.SubmittedAt) / 2;
-  const microseconds Needed = std::min(Half, Request.Stats->needed());
-  setWake(Request, std::max(Now + microseconds{1}, Deadline - Needed));
+  setWake(Request, std::max(Now + microseconds{1},
+                            Request.Request.Deadline - needed(Request)));
   if (Queue.size() <= MostQueued)
     return;
   const auto Surplus = Queue.surplus();
--- a/src/admission/internal/dispatchercore.h
+++ b/src/admission/internal/dispatchercore.h
@@ -43,6 +43,7 @@
   auto setWake(request_state &Request, time_point Wake) -> void;
 
   auto enqueue(request_state &Request, time_point Now) -> void;
+  auto needed(const request_state &Request) const -> microseconds;
   auto fillSlots(time_point Now) -> void;
   auto startWaiting(request_number Number, time_point Now) -> bool;
   auto start(request_state &Request, std::size_t Target, time_point Now)
--- a/src/admission/internal/fairqueue.cpp
+++ b/src/admission/internal/fairqueue.cpp
@@ -68,7 +68,7 @@
   for (const auto &[Class, Entries] : Flow.Classes) {
     const time_point First = Entries.begin()->first;
     const time_point Last = Entries.rbegin()->first;
-    if (Deadline <= First)
+    if (Deadline < First)
       continue;
     const auto Count = static_cast<double>(Entries.size());
     if (Deadline >= Last)
--- a/src/admission/internal/targetlearning.cpp
+++ b/src/admission/internal/targetlearning.cpp
@@ -13,6 +13,7 @@
 constexpr double LateWeight = 0.2;
 constexpr double SlowLateShare = 0.5;
 constexpr int SlowFactor = 3;
+constexpr microseconds LeastSlowness{5000}; ///< not the way to a far domain
 constexpr double ShedGainPerAnswer = 0.04;
 constexpr microseconds LeastPause{2000};
 constexpr int MostPauseDoublings = 5;
@@ -119,17 +120,20 @@
 
 auto target_pool::bestLatency() const -> microseconds {
   microseconds Best{0};
-  for (const target_state &Target : Targets)
-    if (inUse(Target) && Target.Latency > microseconds{0} &&
-        (Best == microseconds{0} || Target.Latency < Best))
+  for (const target_state &Target : Targets) {
+    const bool Counts = inUse(Target) && !Target.Health.ejected() &&
+                        Target.Latency > microseconds{0};
+    if (Counts && (Best == microseconds{0} || Target.Latency < Best))
       Best = Target.Latency;
+  }
   return Best;
 }
 
 auto target_pool::slow(const std::size_t Position) const -> bool {
   const target_state &Target = Targets[Position];
   const microseconds Best = bestLatency();
-  if (Target.Latency > SlowFactor * Best && Best > microseconds{0})
+  if (Best > microseconds{0} &&
+      Target.Latency > std::max(SlowFactor * Best, Best + LeastSlowness))
     return true;
   if (Target.LateShare < SlowLateShare)
     return false;
--- a/src/admission/tests/groupdispatcher_tests.cpp
+++ b/src/admission/tests/groupdispatcher_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace tarragon;
@@ -49,6 +50,32 @@
   return Picked;
 }
 
+/// Answers every attempt, and those that follow from it, after 10 ms each.
+auto answerAll(group_dispatcher &Dispatcher, dispatch_actions Actions,
+               time_point &Now) -> void {
+  for (auto Started = pick<start_attempt>(Actions); !Started.empty();
+       Started = pick<start_attempt>(Actions)) {
+    Actions.clear();
+    Now += 10ms;
+    for (const start_attempt &Attempt : Started)
+      for (dispatch_action &Action :
+           Dispatcher.onAttemptDone({.Attempt = Attempt.Attempt,
+           .Outcome = attempt_outcome::Answered},
+                                    Now))
+        Actions.push_back(std::move(Action));
+  }
+}
+
+auto makeWarmDispatcher(time_point &Now) -> group_dispatcher {
+  auto Dispatcher = makeDispatcher(dispatcher_role::Owner);
+  for (std::uint64_t Query = 1000; Query < 1100; ++Query) {
+    auto Request = makeRequest(Query);
+    Request.Deadline = Now + 200ms;
+    answerAll(Dispatcher, Dispatcher.submit(Request, Now), Now);
+  }
+  return Dispatcher;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(an_owner_fills_the_slots_and_queues_the_rest) {
@@ -108,3 +135,117 @@
   BOOST_TEST((Settled[0].Settlement.CrashedTargets ==
               std::vector<target_id>{Started[0].Target.Id}));
 }
+
+BOOST_AUTO_TEST_CASE(a_flood_of_one_contract_does_not_starve_another) {
+  auto Dispatcher = makeDispatcher(dispatcher_role::Owner);
+  std::vector<start_attempt> Started;
+  for (std::uint64_t Query = 1; Query <= 100; ++Query)
+    for (auto &Attempt :
+         pick<start_attempt>(Dispatcher.submit(makeRequest(Query), Start)))
+      Started.push_back(Attempt);
+  auto Other = makeRequest(200);
+  Other.Contract = "lookup";
+  Other.Deadline = Start + 10s;
+  Dispatcher.submit(Other, Start);
+  std::vector<contract_id> Next;
+  for (const auto &Attempt : Started)
+    for (const auto &Following : pick<start_attempt>(Dispatcher.onAttemptDone(
+             {.Attempt = Attempt.Attempt, .Outcome = attempt_outcome::Answered},
+             Start + 10ms)))
+      Next.push_back(Following.Request.Contract);
+  BOOST_TEST(std::count(Next.begin(), Next.end(), "lookup") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(what_cannot_make_its_deadline_is_refused_at_once) {
+  time_point Now = Start;
+  auto Dispatcher = makeWarmDispatcher(Now);
+  std::size_t Refused = 0;
+  for (std::uint64_t Query = 1; Query <= 200; ++Query) {
+    auto Request = makeRequest(Query);
+    Request.Deadline = Now + 100ms;
+    for (const auto &Settled :
+         pick<settle_subrequest>(Dispatcher.submit(Request, Now))) {
+      BOOST_TEST((Settled.Settlement.Outcome == attempt_outcome::NotRun));
+      BOOST_TEST(Settled.Settlement.ProvenNotRun);
+      ++Refused;
+    }
+  }
+  // Six slots serve about 60 in the 100 ms.
+  BOOST_TEST(Refused >= 130U);
+  BOOST_TEST(Refused <= 150U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_attempt_is_hedged_in_another_domain) {
+  time_point Now = Start;
+  auto Dispatcher = makeWarmDispatcher(Now);
+  auto Request = makeRequest(1);
+  Request.Deadline = Now + 200ms;
+  const auto First = pick<start_attempt>(Dispatcher.submit(Request, Now));
+  BOOST_REQUIRE(First.size() == 1U);
+  Now += 15ms;
+  const auto Hedge = pick<start_attempt>(Dispatcher.onTimer(Now));
+  BOOST_REQUIRE(Hedge.size() == 1U);
+  BOOST_TEST(Hedge[0].Target.Domain != First[0].Target.Domain);
+  const auto Actions = Dispatcher.onAttemptDone(
+      {.Attempt = Hedge[0].Attempt, .Outcome = attempt_outcome::Answered},
+      Now + 5ms);
+  const auto Settled = pick<settle_subrequest>(Actions);
+  BOOST_REQUIRE(Settled.size() == 1U);
+  BOOST_TEST(Settled[0].Settlement.Target == Hedge[0].Target.Id);
+  const auto Cancelled = pick<cancel_attempt>(Actions);
+  BOOST_REQUIRE(Cancelled.size() == 1U);
+  BOOST_TEST(Cancelled[0].Attempt == First[0].Attempt);
+  Dispatcher.onAttemptDone(
+      {.Attempt = First[0].Attempt, .Outcome = attempt_outcome::Crashed},
+      Now + 6ms);
+  BOOST_TEST(Dispatcher.takeLateCrashes().size() == 1U);
+  BOOST_TEST(Dispatcher.idle());
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_target_is_left_alone_and_probed_later) {
+  time_point Now = Start;
+  auto Dispatcher = makeWarmDispatcher(Now);
+  std::vector<time_point> Tries;
+  for (std::uint64_t Query = 1; Query <= 1000; ++Query) {
+    Now += 5ms;
+    auto Request = makeRequest(Query);
+    Request.Deadline = Now + 200ms;
+    auto Actions = Dispatcher.submit(Request, Now);
+    for (const auto &Attempt : pick<start_attempt>(Actions)) {
+      const bool Dead = Attempt.Target.Id == "t1";
+      if (Dead)
+        Tries.push_back(Now);
+      const auto Outcome =
+          Dead ? attempt_outcome::NotSent : attempt_outcome::Answered;
+      auto More = Dispatcher.onAttemptDone(
+          {.Attempt = Attempt.Attempt, .Outcome = Outcome}, Now);
+      answerAll(Dispatcher, More, Now);
+    }
+  }
+  BOOST_TEST(Tries.size() >= 4U);
+  BOOST_TEST(Tries.size() <= 10U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_go_where_their_version_is_held) {
+  time_point Now = Start;
+  auto Dispatcher = makeDispatcher(dispatcher_role::Owner);
+  int Refusals = 0;
+  for (std::uint64_t Query = 1; Query <= 60; ++Query) {
+    auto Actions = Dispatcher.submit(makeRequest(Query), Now);
+    while (pick<settle_subrequest>(Actions).empty()) {
+      const auto Started = pick<start_attempt>(Actions);
+      BOOST_REQUIRE(Started.size() == 1U);
+      const bool Holds = Started[0].Target.Id == "t3";
+      Refusals += Holds ? 0 : 1;
+      Actions = Dispatcher.onAttemptDone(
+          {.Attempt = Started[0].Attempt,
+           .Outcome = Holds ? attempt_outcome::Answered
+                            : attempt_outcome::WrongVersion,
+           .Held = {{Holds ? 7U : 8U, 1}}},
+          Now);
+    }
+    BOOST_TEST(pick<settle_subrequest>(Actions)[0].Settlement.ProvenNotRun ==
+               false);
+  }
+  BOOST_TEST(Refusals <= 2);
+}
--- a/src/admission/tests/poisontracker_tests.cpp
+++ b/src/admission/tests/poisontracker_tests.cpp
@@ -1,4 +1,3 @@
-#define BOOST_TEST_MODULE admission
 #include "admission/poisontracker.h"
 
 #include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/src/admission/tests/schedulechecker.cpp
@@ -0,0 +1,226 @@
+#include "schedulechecker.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace tarragon::admission {
+
+namespace {
+
+constexpr int MostInstances = 2;
+constexpr milliseconds CancelGrace{1000};
+
+auto makeService() -> service {
+  return {.Id = "petals",
+          .Limits = {.Slots = 3, .Connections = 8},
+          .Groups = {{.Id = "petals/0",
+                      .Targets = {{"t0", "127.0.0.1:1", "a"},
+                                  {"t1", "127.0.0.1:2", "b"},
+                                  {"t2", "127.0.0.1:3", "c"}}}}};
+}
+
+} // namespace
+
+schedule_checker::schedule_checker()
+    : Service(makeService()), Dispatcher(Service, Service.Groups[0],
+                                         {.Instance = "e1",
+                                          .Incarnation = 3,
+                                          .Domain = "a",
+                                          .MostInstances = MostInstances,
+                                          .Seed = 5},
+                                         Role) {}
+
+auto schedule_checker::expect(const bool Kept, const char *Promise) -> void {
+  if (!Kept && Fault.empty())
+    Fault = Promise;
+}
+
+auto schedule_checker::take(const schedule_step &Step) -> void {
+  advance(milliseconds{Step.DelayMs % 16});
+  switch (Step.Kind % 8) {
+  case 0:
+  case 1:
+  case 2:
+    submit(Step);
+    return;
+  case 3:
+  case 4:
+  case 5:
+    endAttempt(Step);
+    return;
+  case 6:
+    disturb(Step);
+    return;
+  case 7:
+    advance(milliseconds{Step.Choice});
+    return;
+  }
+}
+
+auto schedule_checker::finish() -> void {
+  for (int Round = 0; Round < 100 && !Dispatcher.idle(); ++Round) {
+    while (!InFlight.empty())
+      endAttempt({.Detail = 0});
+    advance(milliseconds{100});
+  }
+  expect(Dispatcher.idle(), "idle at the end");
+  expect(std::all_of(Asked.begin(), Asked.end(),
+                     [](const asked &One) { return One.Settled; }),
+         "every subrequest is settled");
+}
+
+auto schedule_checker::advance(const milliseconds Delay) -> void {
+  const time_point Until = Now + Delay;
+  for (auto Wake = Dispatcher.nextWake(); Wake && *Wake <= Until;
+       Wake = Dispatcher.nextWake()) {
+    expect(*Wake >= Now, "timers are run in time");
+    Now = std::max(Now, *Wake);
+    check(Dispatcher.onTimer(Now));
+    if (!Fault.empty())
+      return;
+  }
+  Now = Until;
+}
+
+auto schedule_checker::submit(const schedule_step &Step) -> void {
+  const bool Repeatable = Step.Detail % 4 != 0;
+  const std::uint64_t Number = Asked.size();
+  const subrequest Request{.Id = {.Query = Number},
+                           .Root = "e2",
+                           .Contract = Step.Choice % 3 == 0 ? "search" : "feed",
+                           .Version = 7 + (Step.Choice % 16 == 0 ? 1U : 0U),
+                           .ShardCount = 1,
+                           .Fingerprint = Number,
+                           .Deadline = Now + milliseconds{5 + Step.Choice},
+                           .Repeatable = Repeatable,
+                           .Suspect = Step.Detail % 8 == 1,
+                           .HedgeBudget = 0.01};
+  Asked.push_back({.Request = Request});
+  check(Dispatcher.submit(Request, Now));
+}
+
+auto schedule_checker::endAttempt(const schedule_step &Step) -> void {
+  if (InFlight.empty())
+    return;
+  constexpr attempt_outcome Outcomes[] = {
+      attempt_outcome::Answered,    attempt_outcome::Answered,
+      attempt_outcome::Answered,    attempt_outcome::Corrupt,
+      attempt_outcome::Corrupt,     attempt_outcome::Corrupt,
+      attempt_outcome::Shed,        attempt_outcome::NotSent,
+      attempt_outcome::Crashed,     attempt_outcome::Refused,
+      attempt_outcome::Expired,     attempt_outcome::Leaving,
+      attempt_outcome::WrongVersion};
+  const auto Ended =
+      std::next(InFlight.begin(),
+                Step.Choice % static_cast<std::ptrdiff_t>(InFlight.size()));
+  const attempt_outcome Outcome = Outcomes[Step.Detail % std::size(Outcomes)];
+  const attempt_result Result{.Attempt = Ended->first, .Outcome = Outcome};
+  asked &Owner = Asked[Ended->second.Request];
+  --Owner.Open;
+  Owner.Proven = Owner.Proven && provesNotRun(Outcome);
+  Owner.Crashed = Owner.Crashed || Outcome == attempt_outcome::Crashed;
+  if (Outcome == attempt_outcome::Leaving && !givenUp(Ended->second))
+    Leaving[Ended->second.Target] = true;
+  InFlight.erase(Ended);
+  check(Dispatcher.onAttemptDone(Result, Now));
+}
+
+auto schedule_checker::disturb(const schedule_step &Step) -> void {
+  const target_id Target = "t" + std::to_string(Step.Choice % 3);
+  switch (Step.Detail % 4) {
+  case 0:
+    Leaving[Target] = true;
+    check(Dispatcher.onTargetSign(Target, target_sign::Leaving, Now));
+    return;
+  case 1:
+    Leaving[Target] = false;
+    check(Dispatcher.onTargetSign(Target, target_sign::Returned, Now));
+    return;
+  case 2:
+    Role =
+        Step.Choice % 2 == 0 ? dispatcher_role::Owner : dispatcher_role::Guest;
+    check(Dispatcher.setRole(Role, Now));
+    return;
+  case 3:
+    if (!Asked.empty())
+      check(
+          Dispatcher.cancel({.Query = Step.Choice % Asked.size()}, "e2", Now));
+    return;
+  }
+}
+
+auto schedule_checker::givenUp(const sent_attempt &Attempt) const -> bool {
+  return Attempt.Cancelled && Now >= Attempt.CancelledAt + CancelGrace;
+}
+
+auto schedule_checker::limit() const -> int {
+  return Role == dispatcher_role::Owner ? 3 : 1;
+}
+
+auto schedule_checker::check(const dispatch_actions &Actions) -> void {
+  for (const dispatch_action &Action : Actions)
+    if (const auto *Start = std::get_if<start_attempt>(&Action))
+      onStart(*Start);
+    else if (const auto *Cancel = std::get_if<cancel_attempt>(&Action))
+      onCancel(*Cancel);
+    else if (const auto *Settle = std::get_if<settle_subrequest>(&Action))
+      onSettle(Settle->Settlement);
+}
+
+auto schedule_checker::onStart(const start_attempt &Start) -> void {
+  const std::size_t Number = Start.Request.Id.Query;
+  asked &Owner = Asked[Number];
+  expect(!Owner.Settled, "no attempt after the settlement");
+  expect(Now < Owner.Request.Deadline, "no attempt after the deadline");
+  expect(!Owner.Crashed, "no attempt after a crash");
+  expect(!Leaving[Start.Target.Id], "no attempt at a leaving target");
+  if (!Owner.Request.Repeatable || Owner.Request.Suspect)
+    expect(Owner.Open == 0, "one attempt at a time");
+  if (!Owner.Request.Repeatable)
+    expect(Owner.Proven, "a second attempt only after a proven not run");
+  Earned += Owner.Sent == 0 ? Owner.Request.HedgeBudget : 0;
+  Paid += Owner.Sent > 0 && (Owner.Open > 0 || !Owner.Proven) ? 1 : 0;
+  expect(Paid <= Earned, "the budget of extra attempts is kept");
+  ++Owner.Sent;
+  ++Owner.Open;
+  const bool New =
+      InFlight
+          .emplace(Start.Attempt, sent_attempt{Start.Target.Id, Number, {}, {}})
+          .second;
+  expect(New, "attempt ids differ");
+  int AtTarget = 0;
+  int Suspects = 0;
+  for (const auto &[Id, Attempt] : InFlight) {
+    if (givenUp(Attempt))
+      continue;
+    AtTarget += Attempt.Target == Start.Target.Id ? 1 : 0;
+    Suspects += Asked[Attempt.Request].Request.Suspect ? 1 : 0;
+  }
+  expect(AtTarget <= limit(), "in flight within the limit");
+  if (Owner.Request.Suspect)
+    expect(Suspects <= 1, "one suspect at a time");
+}
+
+auto schedule_checker::onCancel(const cancel_attempt &Cancel) -> void {
+  const auto Found = InFlight.find(Cancel.Attempt);
+  expect(Found != InFlight.end(), "cancels what is in flight");
+  if (Found == InFlight.end())
+    return;
+  Found->second.Cancelled = true;
+  Found->second.CancelledAt = Now;
+}
+
+auto schedule_checker::onSettle(const settlement &Settlement) -> void {
+  asked &Owner = Asked[Settlement.Id.Query];
+  expect(!Owner.Settled, "settled once");
+  expect(Now <= Owner.Request.Deadline, "settled by the deadline");
+  expect(Settlement.ProvenNotRun == (Owner.Proven && Owner.Open == 0),
+         "proven not run is told truly");
+  expect(Settlement.Attempts == static_cast<std::uint32_t>(Owner.Sent),
+         "attempts are counted");
+  expect(Settlement.CrashedTargets.empty() == !Owner.Crashed,
+         "crashes are told");
+  Owner.Settled = true;
+}
+
+} // namespace tarragon::admission
