Blame crashes on the suspect and spare the last replica

Cause: in a trial with a poison resent every 10 ms through two entries, those that ran beside it stayed suspected, and two entries that do not know of each other's crash yet could have taken down all replicas of a group. Change: the dispatcher remembers fingerprints that crashed a target lately and runs them apart whatever the root says; a crash under a suspect, or with one request in flight, is blamed on that one alone; one that crashed lately is not risked on the last target of a group that did not. takeCrashes replaces takeLateCrashes and tells who ran apart.

--- a/src/admission/groupdispatcher.cpp
+++ b/src/admission/groupdispatcher.cpp
@@ -63,8 +63,8 @@
   return Core->nextWake();
 }
 
-auto group_dispatcher::takeLateCrashes() -> std::vector<crash_report> {
-  return Core->takeLateCrashes();
+auto group_dispatcher::takeCrashes() -> std::vector<crash_report> {
+  return Core->takeCrashes();
 }
 
 auto group_dispatcher::idle() const -> bool { return Core->idle(); }
--- a/src/admission/groupdispatcher.h
+++ b/src/admission/groupdispatcher.h
@@ -43,9 +43,10 @@
   auto onTimer(time_point Now) -> dispatch_actions;
   auto nextWake() const -> std::optional<time_point>;
 
-  /// Crashes that ended attempts whose subrequests were settled before; to be
-  /// recorded like those of settlements. Hands each over once.
-  auto takeLateCrashes() -> std::vector<crash_report>;
+  /// Crashes seen since the last call, also of attempts whose subrequests were
+  /// settled before. They tell better than settlements whether the request ran
+  /// apart: as a suspect, or alone at the target.
+  auto takeCrashes() -> std::vector<crash_report>;
 
   /// Whether nothing is queued or in flight.
   auto idle() const -> bool;
--- a/src/admission/internal/dispatchercore.cpp
+++ b/src/admission/internal/dispatchercore.cpp
@@ -121,8 +121,8 @@
   return std::exchange(Actions, {});
 }
 
-auto dispatcher_core::takeLateCrashes() -> std::vector<crash_report> {
-  return std::exchange(LateCrashes, {});
+auto dispatcher_core::takeCrashes() -> std::vector<crash_report> {
+  return std::exchange(Crashes, {});
 }
 
 auto dispatcher_core::nextWake() const -> std::optional<time_point> {
@@ -180,8 +180,18 @@
                                    const time_point Now) -> bool {
   request_state &Request = Requests.at(Number);
   const subrequest &Sent = Request.Request;
+  const bool Crashed = CrashedLately.has(Sent.Fingerprint, Now);
+  if (Crashed && !Request.CrashedLately) {
+    Queue.remove(Request);
+    Request.CrashedLately = true;
+    Request.Request.Suspect = true;
+    Queue.push(Request);
+    return true;
+  }
   if (Sent.Suspect && SuspectsInFlight > 0)
     return false;
+  if (Crashed && !Pool.sparesOne(Now))
+    return false;
   const auto Target = Pool.choose(Request, Queue.size(), Now);
   if (!Target)
     return false;
--- a/src/admission/internal/dispatchercore.h
+++ b/src/admission/internal/dispatchercore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/internal/attemptstate.h"
+#include "admission/internal/crashmemory.h"
 #include "admission/internal/fairqueue.h"
 #include "admission/internal/hedgebudget.h"
 #include "admission/internal/requestkey.h"
@@ -33,7 +34,7 @@
 
   /// Runs due timers, fills free slots and hands over the actions so far.
   auto takeActions(time_point Now) -> dispatch_actions;
-  auto takeLateCrashes() -> std::vector<crash_report>;
+  auto takeCrashes() -> std::vector<crash_report>;
   auto nextWake() const -> std::optional<time_point>;
   auto idle() const -> bool;
 
@@ -59,8 +60,8 @@
                   const attempt_result &Result, time_point Now) -> void;
   auto mayRetry(request_state &Request, attempt_outcome Outcome, time_point Now)
       -> bool;
-  auto noteLateCrash(const attempt_state &Attempt, attempt_outcome Outcome)
-      -> void;
+  auto noteCrash(const attempt_state &Attempt, attempt_outcome Outcome,
+                 time_point Now) -> void;
 
   auto runTimers(time_point Now) -> void;
   auto onRequestTimer(request_state &Request, time_point Now) -> void;
@@ -81,6 +82,7 @@
   attempt_number LastAttempt;
   request_number LastRequest = 0;
   int SuspectsInFlight = 0;
+  crash_memory CrashedLately;
   std::unordered_map<contract_id, contract_stats> Stats;
   std::unordered_map<request_number, request_state> Requests;
   std::unordered_map<request_key, request_number, request_key_hash> Known;
@@ -88,7 +90,7 @@
   std::set<std::pair<time_point, request_number>> RequestTimers;
   std::set<std::pair<time_point, attempt_number>> GiveUpTimers;
   std::optional<time_point> PoolWake; ///< when a target may become free
-  std::vector<crash_report> LateCrashes;
+  std::vector<crash_report> Crashes;
   dispatch_actions Actions;
 };
 
--- a/src/admission/internal/dispatcherresults.cpp
+++ b/src/admission/internal/dispatcherresults.cpp
@@ -9,7 +9,7 @@
 /// How long a cancelled attempt without a result keeps its slot.
 constexpr milliseconds CancelGrace{1000};
 constexpr milliseconds LeastHedgeDelay{2};
-constexpr std::size_t MostLateCrashes = 64;
+constexpr std::size_t MostCrashes = 64;
 
 auto microsecondsOf(const time_point::duration Duration) -> microseconds {
   return std::chrono::duration_cast<microseconds>(Duration);
@@ -34,9 +34,8 @@
   const auto Waiting = Requests.find(Attempt.Request);
   const bool Settled = Waiting == Requests.end();
   learn(Attempt, Settled ? nullptr : &Waiting->second, Result, Now);
-  if (Settled)
-    noteLateCrash(Attempt, Result.Outcome);
-  else
+  noteCrash(Attempt, Result.Outcome, Now);
+  if (!Settled)
     takeResult(Waiting->second, Attempt, Result, Now);
 }
 
@@ -56,17 +55,16 @@
                             const request_state *Request,
                             const attempt_result &Result, const time_point Now)
     -> void {
-  const microseconds Elapsed = microsecondsOf(Now - Attempt.StartedAt);
   const bool Told =
       !Attempt.Cancelled || Result.Outcome != attempt_outcome::Expired;
   if (Told)
-    Pool.onResult(Attempt.Target, Result.Outcome, Elapsed, Attempt.Late, Now);
+    Pool.onResult(Attempt, Result.Outcome, Now);
   if (Request == nullptr)
     return;
   Pool.learnHeld(Attempt.Target, Result.Held, Request->Request, Result.Outcome,
                  Now);
   if (Result.Outcome == attempt_outcome::Answered && !Pool.slow(Attempt.Target))
-    Request->Stats->record(Elapsed);
+    Request->Stats->record(microsecondsOf(Now - Attempt.StartedAt));
 }
 
 auto dispatcher_core::takeResult(request_state &Request,
@@ -121,13 +119,24 @@
   return Budget.take() || retriesFreely(Outcome);
 }
 
-auto dispatcher_core::noteLateCrash(const attempt_state &Attempt,
-                                    const attempt_outcome Outcome) -> void {
-  if (Outcome != attempt_outcome::Crashed ||
-      LateCrashes.size() >= MostLateCrashes)
+auto dispatcher_core::noteCrash(const attempt_state &Attempt,
+                                const attempt_outcome Outcome,
+                                const time_point Now) -> void {
+  if (Outcome == attempt_outcome::Answered)
+    CrashedLately.clear(Attempt.Fingerprint);
+  if (Outcome != attempt_outcome::Crashed)
+    return;
+  const crash_blame Blame = Pool.blame(Attempt.Target);
+  if (Blame == crash_blame::Suspect && !Attempt.Suspect)
     return;
-  LateCrashes.push_back(
-      {Attempt.Fingerprint, Pool.targetAt(Attempt.Target).Id, Attempt.Suspect});
+  const bool Apart = Blame != crash_blame::All;
+  if (Apart)
+    CrashedLately.recordCulprit(Attempt.Fingerprint, Now);
+  else
+    CrashedLately.record(Attempt.Fingerprint, Now);
+  if (Crashes.size() < MostCrashes)
+    Crashes.push_back(
+        {Attempt.Fingerprint, Pool.targetAt(Attempt.Target).Id, Apart});
 }
 
 auto dispatcher_core::runTimers(const time_point Now) -> void {
@@ -171,7 +180,7 @@
 
 auto dispatcher_core::hedge(request_state &Request, const std::size_t Present,
                             const time_point Now) -> bool {
-  if (Queue.size() > 0)
+  if (Queue.size() > 0 || CrashedLately.has(Request.Request.Fingerprint, Now))
     return false;
   const auto Target = Pool.chooseHedge(Request, Present, Now);
   if (!Target || !Budget.take())
@@ -186,11 +195,8 @@
   if (!Request.InFlight.empty() && Request.End.CrashedTargets.empty())
     Request.End.Outcome = attempt_outcome::Expired;
   if (Now >= Request.Request.Deadline)
-    for (const attempt_number Number : Request.InFlight) {
-      const attempt_state &Attempt = Attempts.at(Number);
-      Pool.onResult(Attempt.Target, attempt_outcome::Expired,
-                    microsecondsOf(Now - Attempt.StartedAt), Attempt.Late, Now);
-    }
+    for (const attempt_number Number : Request.InFlight)
+      Pool.onResult(Attempts.at(Number), attempt_outcome::Expired, Now);
   settle(Request, Now);
 }
 
--- a/src/admission/internal/queueclass.h
+++ b/src/admission/internal/queueclass.h
@@ -13,13 +13,14 @@
   index_version Version = 0;
   std::size_t ShardCount = 0;
   bool Suspect = false;
+  bool CrashedLately = false;
   bool Repeatable = true;
   std::vector<std::size_t> Tried;
 
   static auto of(const request_state &Request) -> queue_class {
     const subrequest &Sent = Request.Request;
-    return {Sent.Version, Sent.ShardCount, Sent.Suspect, Sent.Repeatable,
-            Request.Tried};
+    return {Sent.Version,          Sent.ShardCount, Sent.Suspect,
+            Request.CrashedLately, Sent.Repeatable, Request.Tried};
   }
 
   auto operator<(const queue_class &Other) const -> bool {
@@ -27,10 +28,11 @@
   }
 
 private:
-  auto tie() const
-      -> std::tuple<const index_version &, const std::size_t &, const bool &,
-                    const bool &, const std::vector<std::size_t> &> {
-    return std::tie(Version, ShardCount, Suspect, Repeatable, Tried);
+  auto tie() const -> std::tuple<const index_version &, const std::size_t &,
+                                 const bool &, const bool &, const bool &,
+                                 const std::vector<std::size_t> &> {
+    return std::tie(Version, ShardCount, Suspect, CrashedLately, Repeatable,
+                    Tried);
   }
 };
 
--- a/src/admission/internal/requeststate.h
+++ b/src/admission/internal/requeststate.h
@@ -23,6 +23,7 @@
   time_point Wake; ///< the moment of its timer
   bool Queued = false;
   bool Hedged = false;
+  bool CrashedLately = false; ///< its fingerprint did, at this group
   std::vector<attempt_number> InFlight;
   std::vector<std::size_t> Tried; ///< targets not to be tried again, sorted
   settlement End;                 ///< what it would be settled with now
--- a/src/admission/internal/targetlearning.cpp
+++ b/src/admission/internal/targetlearning.cpp
@@ -10,6 +10,8 @@
 constexpr double LeastWeight = 0.1; ///< of a new latency sample
 constexpr milliseconds LatencyMemory{1000};
 constexpr milliseconds LackMemory{1000};
+constexpr milliseconds SameCrash{50};
+constexpr milliseconds CrashMemory{10000};
 constexpr double LateWeight = 0.2;
 constexpr double SlowLateShare = 0.5;
 constexpr int SlowFactor = 3;
@@ -20,16 +22,18 @@
 
 } // namespace
 
-auto target_pool::onResult(const std::size_t Position,
-                           const attempt_outcome Outcome,
-                           const microseconds Elapsed, const bool Late,
-                           const time_point Now) -> void {
-  target_state &Target = Targets[Position];
+auto target_pool::onResult(const attempt_state &Attempt,
+                           const attempt_outcome Outcome, const time_point Now)
+    -> void {
+  target_state &Target = Targets[Attempt.Target];
+  const auto Elapsed =
+      std::chrono::duration_cast<microseconds>(Now - Attempt.StartedAt);
   switch (Outcome) {
   case attempt_outcome::Answered:
     Target.Health.onAnswer(RoleLimit);
+    Target.CrashedAt = time_point{};
     learnLatency(Target, Elapsed, Now);
-    if (!Late)
+    if (!Attempt.Late)
       Target.LateShare *=
           SlowLateShare <= Target.LateShare ? 0.5 : 1 - LateWeight;
     Target.ShedsInARow = 0;
@@ -46,9 +50,12 @@
     if (Elapsed < SlowFactor * bestLatency())
       return;
     learnLatency(Target, std::max(Elapsed, Target.Latency), Now);
+    Target.Health.onFailure(Outcome, mayEject(Target), Random, Now);
+    return;
+  case attempt_outcome::Crashed:
+    onCrash(Target, Attempt.Suspect, Now);
     [[fallthrough]];
   case attempt_outcome::NotSent:
-  case attempt_outcome::Crashed:
   case attempt_outcome::Corrupt:
   case attempt_outcome::Refused:
     Target.Health.onFailure(Outcome, mayEject(Target), Random, Now);
@@ -83,6 +90,36 @@
   Target.LatencyAt = Now;
 }
 
+/// Called for each attempt that the crash ended; those called for are no longer
+/// counted in flight.
+auto target_pool::onCrash(target_state &Target, const bool Suspect,
+                          const time_point Now) -> void {
+  const bool Same = Now < Target.CrashedAt + SameCrash;
+  Target.CrashedAt = Now;
+  if (Same)
+    return;
+  if (Suspect || Target.SuspectsInFlight > 0)
+    Target.Blame = crash_blame::Suspect;
+  else if (Target.InFlight == 0 && Role == dispatcher_role::Owner)
+    Target.Blame = crash_blame::Single;
+  else
+    Target.Blame = crash_blame::All;
+}
+
+auto target_pool::sparesOne(const time_point Now) const -> bool {
+  std::size_t Crashed = 0;
+  std::size_t Used = 0;
+  for (const target_state &Target : Targets) {
+    if (!inUse(Target))
+      continue;
+    ++Used;
+    const bool Lately = Target.CrashedAt != time_point{} &&
+                        Now < Target.CrashedAt + CrashMemory;
+    Crashed += Lately ? 1 : 0;
+  }
+  return Crashed == 0 || Crashed + 1 < Used;
+}
+
 auto target_pool::onShed(target_state &Target, const time_point Now) -> void {
   const double Present = std::min<double>(Target.ShedLimit, RoleLimit);
   if (Now >= Target.PausedUntil)
--- a/src/admission/internal/targetpool.h
+++ b/src/admission/internal/targetpool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "admission/internal/requeststate.h"
+#include "admission/internal/attemptstate.h"
 #include "admission/internal/targetstate.h"
 #include "admission/types/dispatcherrole.h"
 #include "admission/types/targetsign.h"
@@ -39,6 +39,15 @@
   /// Whether any target, free or not, could still take \p Request.
   auto anyFor(const request_state &Request, time_point Now) const -> bool;
 
+  /// Whether so few targets crashed lately that another crash would leave
+  /// one to serve.
+  auto sparesOne(time_point Now) const -> bool;
+
+  /// Who is to blame for the crash that just ended attempts at the target.
+  auto blame(std::size_t Position) const -> crash_blame {
+    return Targets[Position].Blame;
+  }
+
   /// Whether any target has a free slot.
   auto anyFree(time_point Now) const -> bool;
 
@@ -51,10 +60,9 @@
   auto onStart(std::size_t Position, bool Suspect) -> void;
   auto onEnd(std::size_t Position, bool Suspect) -> void;
 
-  /// Learns from an attempt that ended after \p Elapsed. \p Late tells
-  /// whether it was counted by onLate already.
-  auto onResult(std::size_t Position, attempt_outcome Outcome,
-                microseconds Elapsed, bool Late, time_point Now) -> void;
+  /// Learns from an attempt that ended or was given up at its deadline.
+  auto onResult(const attempt_state &Attempt, attempt_outcome Outcome,
+                time_point Now) -> void;
 
   /// An attempt takes longer than nearly all others do.
   auto onLate(std::size_t Position, microseconds Elapsed, time_point Now)
@@ -104,6 +112,7 @@
   auto worthSlow(std::size_t Position, std::size_t Waiting) const -> bool;
   auto learnLatency(target_state &Target, microseconds Sample, time_point Now)
       -> void;
+  auto onCrash(target_state &Target, bool Suspect, time_point Now) -> void;
   auto onShed(target_state &Target, time_point Now) -> void;
 
   target_limits Limits;
--- a/src/admission/internal/targetstate.h
+++ b/src/admission/internal/targetstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/internal/crashblame.h"
 #include "admission/internal/lackedversion.h"
 #include "admission/internal/targethealth.h"
 #include "world/types/target.h"
@@ -18,6 +19,8 @@
   std::vector<held_version> Held; ///< empty when not told
   std::vector<lacked_version> Lacks;
   target_health Health;
+  time_point CrashedAt; ///< since its last answer; zero when it did not
+  crash_blame Blame = crash_blame::All; ///< for the last crash
 
   microseconds Latency{0}; ///< moving average; 0 before the first answer
   time_point LatencyAt;    ///< of its last sample
--- a/src/admission/tests/groupdispatcher_tests.cpp
+++ b/src/admission/tests/groupdispatcher_tests.cpp
@@ -198,7 +198,7 @@
   Dispatcher.onAttemptDone(
       {.Attempt = First[0].Attempt, .Outcome = attempt_outcome::Crashed},
       Now + 6ms);
-  BOOST_TEST(Dispatcher.takeLateCrashes().size() == 1U);
+  BOOST_TEST(Dispatcher.takeCrashes().size() == 1U);
   BOOST_TEST(Dispatcher.idle());
 }
 
--- a/src/admission/tests/schedulechecker.cpp
+++ b/src/admission/tests/schedulechecker.cpp
@@ -90,7 +90,7 @@
                            .Contract = Step.Choice % 3 == 0 ? "search" : "feed",
                            .Version = 7 + (Step.Choice % 16 == 0 ? 1U : 0U),
                            .ShardCount = 1,
-                           .Fingerprint = Number,
+                           .Fingerprint = Number % 8,
                            .Deadline = Now + milliseconds{5 + Step.Choice},
                            .Repeatable = Repeatable,
                            .Suspect = Step.Detail % 8 == 1,
@@ -174,7 +174,7 @@
   expect(Now < Owner.Request.Deadline, "no attempt after the deadline");
   expect(!Owner.Crashed, "no attempt after a crash");
   expect(!Leaving[Start.Target.Id], "no attempt at a leaving target");
-  if (!Owner.Request.Repeatable || Owner.Request.Suspect)
+  if (!Owner.Request.Repeatable || Start.Request.Suspect)
     expect(Owner.Open == 0, "one attempt at a time");
   if (!Owner.Request.Repeatable)
     expect(Owner.Proven, "a second attempt only after a proven not run");
@@ -185,7 +185,9 @@
   ++Owner.Open;
   const bool New =
       InFlight
-          .emplace(Start.Attempt, sent_attempt{Start.Target.Id, Number, {}, {}})
+          .emplace(Start.Attempt,
+                   sent_attempt{
+                       Start.Target.Id, Number, Start.Request.Suspect, {}, {}})
           .second;
   expect(New, "attempt ids differ");
   int AtTarget = 0;
@@ -194,10 +196,10 @@
     if (givenUp(Attempt))
       continue;
     AtTarget += Attempt.Target == Start.Target.Id ? 1 : 0;
-    Suspects += Asked[Attempt.Request].Request.Suspect ? 1 : 0;
+    Suspects += Attempt.Suspect ? 1 : 0;
   }
   expect(AtTarget <= limit(), "in flight within the limit");
-  if (Owner.Request.Suspect)
+  if (Start.Request.Suspect)
     expect(Suspects <= 1, "one suspect at a time");
 }
 
--- a/src/admission/tests/schedulechecker.h
+++ b/src/admission/tests/schedulechecker.h
@@ -35,6 +35,7 @@
   struct sent_attempt {
     target_id Target;
     std::size_t Request = 0;
+    bool Suspect = false;
     bool Cancelled = false;
     time_point CancelledAt;
   };
--- a/src/admission/types/crashreport.h
+++ b/src/admission/types/crashreport.h
@@ -9,7 +9,7 @@
 struct crash_report {
   fingerprint Fingerprint = 0;
   target_id Target;
-  bool Apart = true;   ///< whether it ran as a suspect (subrequest::Suspect)
+  bool Apart = true;   ///< ran as a suspect, or alone at the target
   milliseconds Age{0}; ///< how long ago it was seen first; told by a peer
 
   auto operator==(const crash_report &) const -> bool = default;
