--- a/src/config/internal/contractreader.cpp
+++ b/src/config/internal/contractreader.cpp
@@ -37,6 +37,17 @@
     readServices(*Services, Contract);
   Reader.require("merge");
   Reader.require("deadline");
+  readChoices(Reader, Contract);
+  readNumbers(Reader, Contract);
+  if (const auto Objective = Reader.find("objective"))
+    Contract.Objective = readObjective(*Objective, Reader.name());
+  checkTimesAndShares(Reader, Contract);
+  checkMerge(Reader, Contract);
+  return Contract;
+}
+
+auto contract_reader::readChoices(mapping_reader &Reader, contract &Contract)
+    -> void {
   if (const auto Choice =
           Reader.readChoice("merge", {"top_k", "concat", "by_key"}))
     Contract.Merge = Merges[*Choice];
@@ -46,6 +57,10 @@
   if (const auto Choice =
           Reader.readChoice("wait", {"answer_early", "wait_deadline"}))
     Contract.Wait = Waits[*Choice];
+}
+
+auto contract_reader::readNumbers(mapping_reader &Reader, contract &Contract)
+    -> void {
   Reader.readSize("limit", LimitRange, Contract.Limit);
   Reader.readTime("deadline", DeadlineRange, Contract.Deadline);
   Reader.readTime("early_after", EarlyRange, Contract.EarlyAfter);
@@ -55,11 +70,6 @@
   if (!Contract.Repeatable)
     Contract.HedgeBudget = 0;
   Reader.readShare("hedge_budget", Contract.HedgeBudget);
-  if (const auto Objective = Reader.find("objective"))
-    Contract.Objective = readObjective(*Objective, Reader.name());
-  checkTimesAndShares(Reader, Contract);
-  checkMerge(Reader, Contract);
-  return Contract;
 }
 
 auto contract_reader::readServices(const YAML::Node &Node, contract &Contract)
--- a/src/config/internal/contractreader.h
+++ b/src/config/internal/contractreader.h
@@ -18,6 +18,8 @@
   auto read(const YAML::Node &Node) -> contract;
 
 private:
+  auto readChoices(mapping_reader &Reader, contract &Contract) -> void;
+  auto readNumbers(mapping_reader &Reader, contract &Contract) -> void;
   auto readServices(const YAML::Node &Node, contract &Contract) -> void;
   auto readObjective(const YAML::Node &Node, const std::string &What)
       -> objective;
--- a/src/config/internal/headverdict.cpp
+++ b/src/config/internal/headverdict.cpp
@@ -58,7 +58,9 @@
       });
   if (Winner != nullptr)
     return conflict(Head, Winner->Operator,
-                    "Version " + std::to_string(Winner->Version) + " by " +
+                    "The plan rests on version " +
+                        std::to_string(Request.Base) + ", but version " +
+                        std::to_string(Winner->Version) + " by " +
                         Winner->Operator + " was accepted first; " + InForce);
   return apply_outcome{apply_state::Unknown,
                        result_code::ConfigOutcomeUnknown,
--- a/src/ctl/internal/replytext.cpp
+++ b/src/ctl/internal/replytext.cpp
@@ -4,6 +4,8 @@
 
 #include <json/json.h>
 
+#include <sstream>
+
 namespace tarragon::ctl {
 
 namespace {
@@ -35,6 +37,11 @@
   if (!Body.isObject())
     return {};
   const Json::Value &Found = Body[Name];
+  if (Found.isDouble() && !Found.isIntegral()) {
+    std::ostringstream Short;
+    Short << Found.asDouble();
+    return Short.str();
+  }
   return Found.isConvertibleTo(Json::stringValue) ? Found.asString() : "";
 }
 
--- a/src/ctl/internal/views.cpp
+++ b/src/ctl/internal/views.cpp
@@ -34,6 +34,8 @@
 }
 
 auto coverageText(const Json::Value &Coverage) -> std::string {
+  if (numberOf(Coverage, "asked") == 0)
+    return {};
   std::string Text = "coverage " + textOf(Coverage, "answered") + " of " +
                      textOf(Coverage, "asked") + " shards\n";
   for (const Json::Value &Missing : listOf(Coverage, "missing"))
@@ -131,6 +133,9 @@
   const std::string State = textOf(Body, "state");
   if (State == "accepted")
     return "accepted as version " + textOf(Body, "version") + "\n";
+  if (numberOf(Body, "code") ==
+      static_cast<std::uint64_t>(result_code::ConfigUnchanged))
+    return "unchanged: " + textOf(Body, "detail") + "\n";
   std::string Text =
       (State == "unknown" ? "outcome unknown: " : "not accepted: ") +
       resultText(Body);
@@ -150,9 +155,10 @@
   std::string Text = resultText(Body);
   if (!listOf(Body, "items").empty())
     Text += Table.text();
-  if (Body.isObject() && Body["coverage"].isObject())
-    Text += coverageText(Body["coverage"]) + "index version " +
-            textOf(Body, "version") + "\n";
+  if (Body.isObject())
+    Text += coverageText(Body["coverage"]);
+  if (numberOf(Body, "version") > 0)
+    Text += "index version " + textOf(Body, "version") + "\n";
   if (const std::string Next = textOf(Body, "continuation"); !Next.empty())
     Text += "next page: --continuation " + Next + "\n";
   return Text;
--- a/src/ctl/tests/command_tests.cpp
+++ b/src/ctl/tests/command_tests.cpp
@@ -180,6 +180,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(query_shows_what_is_missing) {
+  session Query(command::Query, [](const entry_call &) {
+    return replied(
+        R"({"code":1,"result":"partial","version":7,"coverage":{"asked":3,)"
+        R"("answered":2,"missing":[{"service":"s","shard":1,)"
+        R"("reason":"expired"}]},"items":[{"key":"k","score":0.1}]})");
+  });
+  BOOST_TEST((Query.run() == exit_code::Ok));
+  BOOST_TEST(Query.shows("coverage 2 of 3 shards"));
+  BOOST_TEST(Query.shows("missing s shard 1: expired"));
+  BOOST_TEST(Query.shows("k    0.1"));
+}
+
 BOOST_AUTO_TEST_CASE(json_output_is_the_reply) {
   session Burn(command::Burn, [](const entry_call &) {
     return replied(R"({"contracts":[{"contract":"search"}]})");
--- a/src/platform/httpexchange.cpp
+++ b/src/platform/httpexchange.cpp
@@ -20,6 +20,12 @@
   return Length;
 }
 
+/// Called by libcurl about once a second at least.
+auto stopWhenInterrupted(void *const Flag, curl_off_t, curl_off_t, curl_off_t,
+                         curl_off_t) -> int {
+  return static_cast<const std::atomic<bool> *>(Flag)->load() ? 1 : 0;
+}
+
 auto addHeader(header_list &Headers, const std::string &Line) -> void {
   curl_slist *const Longer = curl_slist_append(Headers.get(), Line.c_str());
   if (Longer == nullptr)
@@ -51,6 +57,12 @@
                    static_cast<long>(Request.Timeout.count()));
   curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, &collect);
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &Body);
+  if (Request.Interrupted != nullptr) {
+    curl_easy_setopt(Handle, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(Handle, CURLOPT_XFERINFOFUNCTION, &stopWhenInterrupted);
+    curl_easy_setopt(Handle, CURLOPT_XFERINFODATA,
+                     const_cast<std::atomic<bool> *>(Request.Interrupted));
+  }
   if (Request.Method != "GET" && Request.Method != "DELETE") {
     curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(Request.Body.size()));
--- a/src/platform/httpexchange.h
+++ b/src/platform/httpexchange.h
@@ -4,6 +4,7 @@
 
 #include <curl/curl.h>
 
+#include <atomic>
 #include <string>
 
 namespace tarragon::platform {
@@ -17,6 +18,8 @@
   std::string Authorization; ///< value of the header; empty: none
   milliseconds ConnectTimeout{};
   milliseconds Timeout{};
+  /// Ends the exchange within about a second once true; null: never.
+  const std::atomic<bool> *Interrupted = nullptr;
 };
 
 /// How far an exchange came.
--- a/src/platform/platformclient.cpp
+++ b/src/platform/platformclient.cpp
@@ -6,6 +6,7 @@
 #include "platform/internal/curlpool.h"
 #include "platform/internal/platformjson.h"
 
+#include <atomic>
 #include <mutex>
 
 namespace tarragon::platform {
@@ -21,6 +22,21 @@
 
 auto clockNow() -> time_point { return std::chrono::steady_clock::now(); }
 
+auto methodOf(const call_kind Kind) -> const char * {
+  switch (Kind) {
+  case call_kind::Put:
+    return "PUT";
+  case call_kind::Remove:
+    return "DELETE";
+  case call_kind::Get:
+  case call_kind::List:
+  case call_kind::Watch:
+  case call_kind::Instances:
+    return "GET";
+  }
+  return "GET";
+}
+
 /// What an exchange that brought no usable reply means for its caller.
 auto lost(const bool Write, const std::string &Why) -> failure {
   if (Write)
@@ -71,6 +87,8 @@
   auto call(call_kind Kind, const std::string &Path, std::string Body = {},
             milliseconds ExtraWait = milliseconds{0}) -> result<std::string>;
 
+  auto interruptWatches() -> void { Interrupted = true; }
+
   auto counts() const -> call_counts {
     const std::lock_guard Guard(Lock);
     return Counts;
@@ -83,6 +101,7 @@
   std::string Base;
   client_settings Settings;
   curl_pool Pool;
+  std::atomic<bool> Interrupted = false;
   mutable std::mutex Lock; ///< a leaf: no other lock is taken under it
   call_budget Reads;
   call_budget Writes;
@@ -130,16 +149,16 @@
   auto Handle = Pool.take();
   if (!Handle)
     return fail(result_code::PlatformUnavailable, "No HTTP handle is free");
-  const char *const Method = Kind == call_kind::Put      ? "PUT"
-                             : Kind == call_kind::Remove ? "DELETE"
-                                                         : "GET";
-  auto Reply = runExchange(Handle.get(), {Method,
-                                          Base + Path,
-                                          std::move(Body),
-                                          Write,
-                                          {},
-                                          Settings.ConnectTimeout,
-                                          Settings.CallTimeout + ExtraWait});
+  exchange_request Request;
+  Request.Method = methodOf(Kind);
+  Request.Url = Base + Path;
+  Request.Body = std::move(Body);
+  Request.Write = Write;
+  Request.ConnectTimeout = Settings.ConnectTimeout;
+  Request.Timeout = Settings.CallTimeout + ExtraWait;
+  if (Kind == call_kind::Watch)
+    Request.Interrupted = &Interrupted;
+  auto Reply = runExchange(Handle.get(), Request);
   Pool.giveBack(std::move(Handle));
   record(Kind, Reply);
   if (Reply.State == exchange_state::NotSent)
@@ -232,6 +251,8 @@
   return lost(false, "unreadable body");
 }
 
+auto platform_client::interruptWatches() -> void { Calls->interruptWatches(); }
+
 auto platform_client::callCounts() const -> call_counts {
   return Calls->counts();
 }
--- a/src/platform/platformclient.h
+++ b/src/platform/platformclient.h
@@ -43,6 +43,10 @@
   /// Instances and targets in one call.
   auto instanceRoster() -> result<roster>;
 
+  /// Makes watches, under way and later ones, fail with PlatformUnavailable
+  /// within about a second. For the end of the process.
+  auto interruptWatches() -> void;
+
   /// Calls since the start, by kind.
   auto callCounts() const -> call_counts;
 
--- a/src/platform/tests/client_tests.cpp
+++ b/src/platform/tests/client_tests.cpp
@@ -148,3 +148,13 @@
     Thread.join();
   BOOST_TEST(Good == 20);
 }
+
+BOOST_AUTO_TEST_CASE(watches_end_when_interrupted) {
+  const scripted_server Silent({});
+  platform_client Client(Silent.address(), {}, 1);
+  std::string_view Code;
+  std::thread Watcher([&] { Code = codeName(Client.watch("a", 0, 1h)); });
+  Client.interruptWatches();
+  Watcher.join();
+  BOOST_TEST(Code == "platform_unavailable");
+}
