Count a query's parts as they change

Cause: each settlement scanned every part and built the list of missing shards, so a query's time grew faster than its shards. Change: part_set keeps the counts; coverage is still made in this one place.

--- a/src/query/internal/answercode.cpp
+++ b/src/query/internal/answercode.cpp
@@ -6,19 +6,14 @@
 
 namespace {
 
-auto mayHaveRun(const query_part &Part) -> bool {
-  return Part.MayHaveRun || Part.State != part_state::Failed;
-}
-
-auto failedWith(const std::vector<query_part> &Parts,
-                const attempt_outcome Reason) -> bool {
+auto failedWith(const part_set &Parts, const attempt_outcome Reason) -> bool {
   return std::any_of(
-      Parts.begin(), Parts.end(), [Reason](const query_part &Part) {
+      Parts.all().begin(), Parts.all().end(), [Reason](const query_part &Part) {
         return Part.State == part_state::Failed && Part.Reason == Reason;
       });
 }
 
-auto notRunCode(const std::vector<query_part> &Parts) -> answer_code {
+auto notRunCode(const part_set &Parts) -> answer_code {
   if (failedWith(Parts, attempt_outcome::Expired))
     return {result_code::NotRunDeadline, "the deadline passed before sending"};
   if (failedWith(Parts, attempt_outcome::NotRun))
@@ -37,10 +32,10 @@
   if (Part.State == part_state::Failed &&
       Part.Reason == attempt_outcome::Refused)
     return false;
-  return mayHaveRun(Part);
+  return Part.State == part_state::Pending || Part.MayHaveRun;
 }
 
-auto emptyCode(const std::vector<query_part> &Parts) -> answer_code {
+auto emptyCode(const part_set &Parts) -> answer_code {
   const bool SurelyFailed = failedWith(Parts, attempt_outcome::Refused) ||
                             failedWith(Parts, attempt_outcome::Crashed) ||
                             failedWith(Parts, attempt_outcome::Corrupt);
@@ -51,16 +46,15 @@
 
 } // namespace
 
-auto decideCode(const contract &Contract, const std::vector<query_part> &Parts,
+auto decideCode(const contract &Contract, const part_set &Parts,
                 const coverage &Coverage, const bool EarlierMayHaveRun)
     -> answer_code {
   if (Coverage.complete())
     return {result_code::Ok, ""};
-  if (!EarlierMayHaveRun &&
-      std::none_of(Parts.begin(), Parts.end(), mayHaveRun))
+  if (!EarlierMayHaveRun && !Parts.mayHaveRun())
     return notRunCode(Parts);
   if (!Contract.Repeatable) {
-    if (std::any_of(Parts.begin(), Parts.end(), inDoubt))
+    if (std::any_of(Parts.all().begin(), Parts.all().end(), inDoubt))
       return {result_code::OutcomeUnknown, "a target may have run it"};
     if (failedWith(Parts, attempt_outcome::Refused))
       return {result_code::Failed, "a target ran it and failed"};
@@ -73,11 +67,4 @@
   return {result_code::Partial, "some shards are missing"};
 }
 
-auto allLackVersion(const std::vector<query_part> &Parts) -> bool {
-  return std::all_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
-    return Part.State == part_state::Failed &&
-           Part.Reason == attempt_outcome::WrongVersion;
-  });
-}
-
 } // namespace tarragon::query
--- a/src/query/internal/answercode.h
+++ b/src/query/internal/answercode.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "global/resultcode.h"
-#include "query/internal/querypart.h"
+#include "query/internal/partset.h"
 #include "world/types/contract.h"
 #include "world/types/coverage.h"
 
@@ -19,11 +19,8 @@
 /// Decides the code from what became of every part. \p EarlierMayHaveRun tells
 /// of tries at a snapshot given up before. Never a not-run code unless every
 /// try of every part is proven not run.
-auto decideCode(const contract &Contract, const std::vector<query_part> &Parts,
+auto decideCode(const contract &Contract, const part_set &Parts,
                 const coverage &Coverage, bool EarlierMayHaveRun)
     -> answer_code;
 
-/// Whether every part failed because no target holds the version.
-auto allLackVersion(const std::vector<query_part> &Parts) -> bool;
-
 } // namespace tarragon::query
--- a/src/query/internal/answermerge.h
+++ b/src/query/internal/answermerge.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "query/internal/querypart.h"
+#include "query/internal/partset.h"
 #include "world/types/contract.h"
 
 #include <vector>
@@ -16,7 +16,7 @@
 /// Merges the items of answered parts, given in the order of services and
 /// shards, into the page of \p Limit items at \p Offset; limit 0 is all.
 /// Equal keys of different shards are different items.
-auto mergePage(merge_kind Merge, std::vector<query_part> &Parts,
-               std::size_t Offset, std::size_t Limit) -> merged_page;
+auto mergePage(merge_kind Merge, part_set &Parts, std::size_t Offset,
+               std::size_t Limit) -> merged_page;
 
 } // namespace tarragon::query
--- a/src/query/scatterquery.cpp
+++ b/src/query/scatterquery.cpp
@@ -2,7 +2,6 @@
 
 #include "query/internal/answercode.h"
 #include "query/internal/answermerge.h"
-#include "query/internal/coveragecount.h"
 #include "query/internal/queryplan.h"
 #include "query/internal/settlementcheck.h"
 #include "query/versiontable.h"
@@ -81,11 +80,12 @@
   LearnBefore = Now + Contract->Deadline / LearnShare;
   Next.reset();
   std::uint32_t FirstTry = 0;
-  for (const query_part &Part : Parts)
+  for (const query_part &Part : Parts.all())
     FirstTry = std::max(FirstTry, Part.Try + 1);
   Snapshot = std::move(Pinned);
-  Parts = planParts(*Deployment, *Contract, Request.Key, Snapshot, FirstTry);
-  if (Parts.empty())
+  Parts = part_set(
+      planParts(*Deployment, *Contract, Request.Key, Snapshot, FirstTry));
+  if (Parts.size() == 0)
     return refuse(result_code::NoCommonSnapshot, "a service isn't deployed");
   query_actions Actions;
   for (std::uint32_t Index = 0; Index < Parts.size(); ++Index)
@@ -120,88 +120,64 @@
   return {std::move(Sub)};
 }
 
-auto scatter_query::currentPart(const subrequest_id &Id) -> query_part * {
+auto scatter_query::isCurrent(const subrequest_id &Id) const -> bool {
   if (Id.Query != Number || Id.Part >= Parts.size())
-    return nullptr;
-  query_part &Part = Parts[Id.Part];
-  if (Id.Try != Part.Try || Part.State != part_state::Pending)
-    return nullptr;
-  return &Part;
+    return false;
+  const query_part &Part = Parts[Id.Part];
+  return Id.Try == Part.Try && Part.State == part_state::Pending;
 }
 
 auto scatter_query::onSettlement(const settlement &Settlement,
                                  const version_table &Versions,
                                  const time_point Now) -> query_actions {
-  if (!Started || Finished)
-    return {};
-  query_part *const Part = currentPart(Settlement.Id);
-  if (Part == nullptr)
+  if (!Started || Finished || !isCurrent(Settlement.Id))
     return {};
+  const std::uint32_t Index = Settlement.Id.Part;
   Attempts += Settlement.Attempts;
   const attempt_outcome Outcome =
-      checkedOutcome(Settlement, *Part, Snapshot.Version);
-  if (Outcome == attempt_outcome::Answered) {
-    Part->State = part_state::Answered;
-    Part->Items = Settlement.Items;
-  }
-  if (Outcome != attempt_outcome::Answered)
-    recordFailure(*Part, Settlement, Outcome);
-  if (mayAskAgain(*Part, Settlement, Now)) {
-    Part->State = part_state::Pending;
-    ++Part->Try;
-    return {send(Settlement.Id.Part)};
+      checkedOutcome(Settlement, Parts[Index], Snapshot.Version);
+  if (Outcome == attempt_outcome::Answered)
+    Parts.answer(Index, Settlement.Items);
+  else
+    recordFailure(Settlement, Outcome);
+  if (mayAskAgain(Parts[Index], Settlement, Now)) {
+    Parts.retry(Index);
+    return {send(Index)};
   }
   if (auto Actions = restart(Versions, Now))
     return std::move(*Actions);
   return finishIfDue(Now);
 }
 
-auto scatter_query::recordFailure(query_part &Part,
-                                  const settlement &Settlement,
+auto scatter_query::recordFailure(const settlement &Settlement,
                                   const attempt_outcome Outcome) -> void {
-  Part.State = part_state::Failed;
-  Part.Reason = Outcome;
-  Part.MayHaveRun = Part.MayHaveRun || !provenNotRun(Settlement);
+  Parts.fail(Settlement.Id.Part, Outcome, provenNotRun(Settlement));
   CrashedTargets.insert(Settlement.CrashedTargets.begin(),
                         Settlement.CrashedTargets.end());
   if (Outcome == attempt_outcome::Crashed)
     CrashedTargets.insert(Settlement.Target);
 }
 
-auto scatter_query::mayAskAgain(query_part &Part, const settlement &Settlement,
-                                const time_point Now) -> bool {
+auto scatter_query::mayAskAgain(const query_part &Part,
+                                const settlement &Settlement,
+                                const time_point Now) const -> bool {
   if (Part.State != part_state::Failed || Now >= SendBefore)
     return false;
   if (!Contract->Repeatable && Part.MayHaveRun)
     return false;
-  if (Part.Reason == attempt_outcome::Crashed) {
-    if (Part.AskedAfterCrash || CrashedTargets.size() > MostCrashedToAskAgain)
-      return false;
-    Part.AskedAfterCrash = true;
-    return true;
-  }
+  if (Part.Reason == attempt_outcome::Crashed)
+    return !Part.AskedAfterCrash &&
+           CrashedTargets.size() <= MostCrashedToAskAgain;
   // No target named: the dispatcher's instance was lost, not a target.
-  const bool OwnerLost =
-      Part.Reason == attempt_outcome::NotSent && Settlement.Target.empty();
-  if (!OwnerLost || Part.AskedAfterLoss)
-    return false;
-  Part.AskedAfterLoss = true;
-  return true;
+  return Part.Reason == attempt_outcome::NotSent && Settlement.Target.empty() &&
+         !Part.AskedAfterLoss;
 }
 
 auto scatter_query::mayRestart(const time_point Now) const -> bool {
   if (Token || RestartsLeft == 0 || !timeForRound(Now))
     return false;
-  const bool AnyWrong =
-      std::any_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
-        return Part.State == part_state::Failed &&
-               Part.Reason == attempt_outcome::WrongVersion;
-      });
-  if (!AnyWrong || Contract->Repeatable)
-    return AnyWrong;
-  return std::all_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
-    return Part.State == part_state::Failed && !Part.MayHaveRun;
-  });
+  return Parts.anyLacksVersion() &&
+         (Contract->Repeatable || !Parts.mayHaveRun());
 }
 
 /// Whether a new round is worth what it throws away: answers at hand are kept
@@ -209,7 +185,7 @@
 auto scatter_query::timeForRound(const time_point Now) const -> bool {
   if (Now >= SendBefore)
     return false;
-  const bool NothingAnswered = countCoverage(Parts).Answered == 0;
+  const bool NothingAnswered = Parts.counts().Answered == 0;
   return NothingAnswered || Now - RoundBegan <= SendBefore - Now;
 }
 
@@ -229,7 +205,7 @@
   if (!Other)
     return std::nullopt;
   // Nothing common was known: the answers still out tell more.
-  if (Snapshot.Likely && anyPending() && Now < LearnBefore) {
+  if (Snapshot.Likely && Parts.anyPending() && Now < LearnBefore) {
     Next = std::move(Other);
     return std::nullopt;
   }
@@ -239,9 +215,7 @@
 auto scatter_query::restartAt(pinned_snapshot Other, const time_point Now)
     -> query_actions {
   --RestartsLeft;
-  for (const query_part &Part : Parts)
-    EarlierMayHaveRun = EarlierMayHaveRun || Part.MayHaveRun ||
-                        Part.State != part_state::Failed;
+  EarlierMayHaveRun = EarlierMayHaveRun || Parts.mayHaveRun();
   query_actions Actions = cancelPending();
   query_actions Sends = beginAt(std::move(Other), Now);
   Actions.insert(Actions.end(), std::make_move_iterator(Sends.begin()),
@@ -271,16 +245,10 @@
   return Wake;
 }
 
-auto scatter_query::anyPending() const -> bool {
-  return std::any_of(Parts.begin(), Parts.end(), [](const query_part &Part) {
-    return Part.State == part_state::Pending;
-  });
-}
-
 auto scatter_query::enoughForEarly() const -> bool {
   if (Contract->Wait != wait_policy::AnswerEarly || !Contract->Repeatable)
     return false;
-  const coverage Coverage = countCoverage(Parts);
+  const coverage Coverage = Parts.counts();
   return Coverage.Answered > 0 &&
          Coverage.share() >= Contract->WantedCoverage &&
          Coverage.share() >= Contract->LeastCoverage;
@@ -288,7 +256,8 @@
 
 auto scatter_query::finishIfDue(const time_point Now) -> query_actions {
   EarlyPassed = EarlyPassed || Now >= EarlyAt;
-  if (!anyPending() || Now >= Deadline || (EarlyPassed && enoughForEarly()))
+  if (!Parts.anyPending() || Now >= Deadline ||
+      (EarlyPassed && enoughForEarly()))
     return finish();
   return {};
 }
@@ -309,9 +278,9 @@
   Answer.RequestId = Request.RequestId;
   Answer.Version = Snapshot.Version;
   Answer.Attempts = Attempts;
-  Answer.Coverage = countCoverage(Parts);
+  Answer.Coverage = Parts.wholeCoverage();
   answer_code Decided =
-      Token && allLackVersion(Parts)
+      Token && Parts.allLackVersion()
           ? answer_code{result_code::SnapshotGone,
                         "the token's snapshot is gone"}
           : decideCode(*Contract, Parts, Answer.Coverage, EarlierMayHaveRun);
--- a/src/query/scatterquery.h
+++ b/src/query/scatterquery.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "query/internal/continuationtoken.h"
-#include "query/internal/querypart.h"
+#include "query/internal/partset.h"
 #include "query/types/queryaction.h"
 #include "world/types/deployment.h"
 #include "world/types/queryrequest.h"
@@ -44,18 +44,17 @@
   auto continueAt(const version_table &Versions, time_point Now)
       -> query_actions;
   auto send(std::uint32_t Index) const -> send_subrequest;
-  auto currentPart(const subrequest_id &Id) -> query_part *;
-  auto recordFailure(query_part &Part, const settlement &Settlement,
-                     attempt_outcome Outcome) -> void;
-  auto mayAskAgain(query_part &Part, const settlement &Settlement,
-                   time_point Now) -> bool;
+  auto isCurrent(const subrequest_id &Id) const -> bool;
+  auto recordFailure(const settlement &Settlement, attempt_outcome Outcome)
+      -> void;
+  auto mayAskAgain(const query_part &Part, const settlement &Settlement,
+                   time_point Now) const -> bool;
   auto restart(const version_table &Versions, time_point Now)
       -> std::optional<query_actions>;
   auto restartAt(pinned_snapshot Other, time_point Now) -> query_actions;
   auto mayRestart(time_point Now) const -> bool;
   auto otherSnapshot(const version_table &Versions) const
       -> std::optional<pinned_snapshot>;
-  auto anyPending() const -> bool;
   auto timeForRound(time_point Now) const -> bool;
   auto enoughForEarly() const -> bool;
   auto pageEnd() const -> std::size_t;
@@ -81,7 +80,7 @@
   pinned_snapshot Snapshot;
   std::optional<pinned_snapshot> Next; ///< to restart at by LearnBefore
   std::optional<continuation_token> Token;
-  std::vector<query_part> Parts;
+  part_set Parts;
   std::set<target_id> CrashedTargets;
   std::uint32_t Attempts = 0;
   int RestartsLeft = 0;
--- a/src/query/tests/scatterquery_tests.cpp
+++ b/src/query/tests/scatterquery_tests.cpp
@@ -89,6 +89,15 @@
   BOOST_TEST((answer().Code == result_code::Partial));
 }
 
+BOOST_AUTO_TEST_CASE(never_answers_early_what_may_not_be_repeated) {
+  rules().Wait = wait_policy::AnswerEarly;
+  rules().WantedCoverage = 0.1;
+  rules().Repeatable = false;
+  start();
+  settle(Sent[0], attempt_outcome::Answered);
+  BOOST_TEST(Actions.empty());
+}
+
 BOOST_AUTO_TEST_CASE(waits_for_all_until_the_deadline) {
   rules().WantedCoverage = 0.1;
   start();
