Add experiments on versions, orders, poison, limits and rolls

Cause: the promises need runs with real processes and every kind of fault. Change: experiments repartition, atmostonce, poison, limits, config, roll and outage; answers.log and a check for instances that died.

--- a/bench/core/answerreader.cpp
+++ b/bench/core/answerreader.cpp
@@ -29,11 +29,13 @@
   Record.Answered = Coverage["answered"].asUInt64();
   Record.Complete = Coverage["complete"].asBool();
   Record.Missing.clear();
+  Record.Reasons.clear();
   for (const Json::Value &Entry : Coverage["missing"]) {
     missing_shard Missing;
     Missing.Service = Entry["service"].asString();
     Missing.Shard = Entry["shard"].asUInt64();
     Record.Missing.push_back(std::move(Missing));
+    Record.Reasons.push_back(Entry["reason"].asString());
   }
   return true;
 }
--- a/bench/core/callrecord.h
+++ b/bench/core/callrecord.h
@@ -32,6 +32,7 @@
   std::size_t Asked = 0;
   std::size_t Answered = 0;
   std::vector<missing_shard> Missing; ///< reasons not filled in
+  std::vector<std::string> Reasons;   ///< of the missing, in their order
   std::vector<item> Items;
   std::uint32_t Attempts = 0;
   int Sends = 0; ///< to entries
--- a/bench/core/cluster.cpp
+++ b/bench/core/cluster.cpp
@@ -105,7 +105,7 @@
           "--slots",
           Text(Topology.Slots),
           "--connections",
-          Text(Topology.Connections),
+          Text(Topology.Connections + 1), // one for /control
           "--connect-cost-us",
           Text(Topology.ConnectCost.count()),
           "--service-mean-ms",
@@ -147,6 +147,17 @@
              milliseconds(1000)});
 }
 
+auto cluster::postTarget(const std::size_t Number, const std::string &Members)
+    -> void {
+  Loop.start({"POST",
+              Targets[Number].Address,
+              "/control",
+              {},
+              Members,
+              milliseconds(1000)},
+             [](const http_answer &) {});
+}
+
 auto cluster::sumOfTargets(const char *const Member) -> double {
   double Sum = 0;
   for (std::size_t Number = 0; Number < Targets.size(); ++Number) {
@@ -185,6 +196,7 @@
 auto cluster::startEntry(const std::size_t Number) -> void {
   const entry_place Place = entry(Number);
   Entries.erase(Number);
+  KilledEntries.erase(Number);
   Entries.emplace(Number,
                   child_process(Settings.Daemon,
                                 {"--instance", Place.Id, "--failure-domain",
@@ -195,9 +207,22 @@
 }
 
 auto cluster::signalEntry(const std::size_t Number, const int Signal) -> void {
+  if (Signal == SIGKILL)
+    KilledEntries.insert(Number);
   Entries.at(Number).signal(Signal);
 }
 
+auto cluster::crashedEntries() -> std::vector<std::string> {
+  std::vector<std::string> Texts;
+  for (auto &[Number, Process] : Entries) {
+    const auto Status = Process.exitStatus();
+    if (Status.value_or(0) != 0 && !KilledEntries.contains(Number))
+      Texts.push_back(entry(Number).Id + " died with status " +
+                      std::to_string(*Status));
+  }
+  return Texts;
+}
+
 auto cluster::entryExit(const std::size_t Number) -> std::optional<int> {
   return Entries.at(Number).exitStatus();
 }
--- a/bench/core/cluster.h
+++ b/bench/core/cluster.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
 
   /// POST /control of a target; a text of JSON members.
   auto controlTarget(std::size_t Number, const std::string &Members) -> void;
+
+  /// The same without waiting, for use while load is played.
+  auto postTarget(std::size_t Number, const std::string &Members) -> void;
   auto killTarget(std::size_t Number) -> void;
   auto startTarget(std::size_t Number) -> void;
   auto targetExited(std::size_t Number) -> bool;
@@ -52,6 +56,10 @@
   auto startEntry(std::size_t Number) -> void;
   auto signalEntry(std::size_t Number, int Signal) -> void;
   auto entryExit(std::size_t Number) -> std::optional<int>;
+
+  /// Instances that ended otherwise than by SIGKILL from here or with status
+  /// 0, as texts.
+  auto crashedEntries() -> std::vector<std::string>;
   auto entry(std::size_t Number) const -> entry_place;
   auto entryCount() const -> std::size_t { return Entries.size(); }
 
@@ -84,6 +92,7 @@
   std::optional<child_process> Platform;
   std::map<std::size_t, child_process> TargetProcesses;
   std::map<std::size_t, child_process> Entries;
+  std::set<std::size_t> KilledEntries;
   std::vector<Json::Value> LastStates;
   std::uint64_t SnapshotVersion = 0;
 };
--- a/bench/core/naiveclient.cpp
+++ b/bench/core/naiveclient.cpp
@@ -122,6 +122,13 @@
       });
 }
 
+auto naive_client::noteMissing(const part &Part, call_record &Record) -> void {
+  missing_shard Missing;
+  Missing.Service = Part.Service;
+  Missing.Shard = Part.Shard;
+  Record.Missing.push_back(std::move(Missing));
+}
+
 auto naive_client::receive(event_loop &Loop,
                            const std::shared_ptr<flight> &Flight,
                            const http_answer &Answer) -> void {
@@ -132,6 +139,8 @@
   if (Answer.Status == 200 && readItems(Answer.Body, Items)) {
     ++Record.Answered;
     Record.Items.insert(Record.Items.end(), Items.begin(), Items.end());
+  } else {
+    noteMissing(Flight->Parts[Flight->Next], Record);
   }
   ++Flight->Next;
   advance(Loop, Flight);
@@ -141,6 +150,8 @@
   if (std::exchange(Flight->Finished, true))
     return;
   call_record &Record = *Flight->Record;
+  for (; Flight->Next < Flight->Parts.size(); ++Flight->Next)
+    noteMissing(Flight->Parts[Flight->Next], Record);
   Record.Version = Asked.Version;
   Record.Asked = Flight->Parts.size();
   Record.Complete = Record.Asked == Record.Answered;
--- a/bench/core/naiveclient.h
+++ b/bench/core/naiveclient.h
@@ -39,6 +39,7 @@
   auto advance(event_loop &Loop, const std::shared_ptr<flight> &Flight) -> void;
   auto receive(event_loop &Loop, const std::shared_ptr<flight> &Flight,
                const http_answer &Answer) -> void;
+  static auto noteMissing(const part &Part, call_record &Record) -> void;
   auto finish(const std::shared_ptr<flight> &Flight) -> void;
 
   topology Topology;
--- a/bench/core/session.cpp
+++ b/bench/core/session.cpp
@@ -2,6 +2,8 @@
 
 #include <json/json.h>
 
+#include <fstream>
+
 namespace tarragon::bench {
 
 namespace {
@@ -15,6 +17,8 @@
     Texts.push_back(std::string(Name) + ": " + std::to_string(Count));
 }
 
+auto countUp(Json::Value &Count) -> void { Count = Count.asUInt() + 1; }
+
 } // namespace
 
 session::session(session_options Options, topology Topology)
@@ -55,27 +59,65 @@
   return Records;
 }
 
+auto session::checkNaive(const std::vector<call_record> &Records)
+    -> broken_promises {
+  broken_promises Found;
+  Audit.checkAnswers(Records, Found);
+  return Found;
+}
+
+auto session::playProductWith(const schedule_plan &Plan,
+                              const std::vector<timed_action> &Actions)
+    -> std::vector<call_record> {
+  const time_point Start = std::chrono::steady_clock::now();
+  for (const timed_action &Action : Actions)
+    Loop.runAt(Start + Action.At, Action.Do);
+  auto Records = playProduct(Plan);
+  // Actions that come after the last answer.
+  Loop.runUntil(Start + Plan.Length);
+  return Records;
+}
+
 auto session::keep(const std::vector<call_record> &Records) -> void {
   Kept.insert(Kept.end(), Records.begin(), Records.end());
 }
 
+auto session::writeRecords() const -> void {
+  std::ofstream File(Options.Cluster.Folder + "/answers.log");
+  for (const call_record &Record : Kept) {
+    File << Record.Call.Body << " at_ms " << Record.Call.At.count() / 1000
+         << " took_ms " << Record.Latency.count() / 1000 << " code "
+         << Record.Code << " sends " << Record.Sends << " attempts "
+         << Record.Attempts << " " << Record.Detail;
+    for (std::size_t Number = 0; Number < Record.Missing.size(); ++Number)
+      File << " missing " << Record.Missing[Number].Service << "/"
+           << Record.Missing[Number].Shard << " " << Record.Reasons[Number];
+    File << '\n';
+  }
+}
+
 auto session::finish(Json::Value Figures, const bool CheckItems)
     -> experiment_result {
   if (CheckItems)
     Audit.checkAnswers(Kept, Broken);
   promise_audit::checkRuns(Kept, readRunLog(Cluster.runLog()), Broken);
+  writeRecords();
   experiment_result Result;
   addBroken(Result.Broken, "mixed versions", Broken.Mixed);
   addBroken(Result.Broken, "wrong coverage", Broken.CoverageErrors);
   addBroken(Result.Broken, "run twice", Broken.RunTwice);
   addBroken(Result.Broken, "false not_run", Broken.FalseNotRun);
+  for (const std::string &Crash : Cluster.crashedEntries())
+    Result.Broken.push_back(Crash);
   for (const std::string &Example : Broken.Examples)
     Result.Broken.push_back("example " + Example);
   Figures["requests"] = Json::UInt64(Kept.size());
   Figures["baseline"]["requests"] = Json::UInt64(NaiveRequests);
-  for (const call_record &Record : Kept)
-    Figures["codes"][std::to_string(Record.Code)] =
-        Figures["codes"][std::to_string(Record.Code)].asUInt() + 1;
+  for (const call_record &Record : Kept) {
+    countUp(Figures["codes"][std::to_string(Record.Code)]);
+    for (const std::string &Reason : Record.Reasons)
+      countUp(Figures["missing"][Reason]);
+  }
   Result.Figures = std::move(Figures);
   return Result;
 }
--- a/bench/core/session.h
+++ b/bench/core/session.h
@@ -8,6 +8,7 @@
 
 #include <json/value.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +28,12 @@
   std::vector<std::string> Broken;
 };
 
+/// Something done to the processes while load is played.
+struct timed_action {
+  milliseconds At{0}; ///< after the window's begin
+  std::function<void()> Do;
+};
+
 /// What every experiment needs: processes, both clients, the audit.
 class session {
 public:
@@ -50,6 +57,14 @@
   auto playProduct(const schedule_plan &Plan) -> std::vector<call_record>;
   auto playNaive(const schedule_plan &Plan) -> std::vector<call_record>;
 
+  /// Broken promises of the baseline's answers: what it costs to be naive.
+  auto checkNaive(const std::vector<call_record> &Records) -> broken_promises;
+
+  /// The same while \p Actions are carried out.
+  auto playProductWith(const schedule_plan &Plan,
+                       const std::vector<timed_action> &Actions)
+      -> std::vector<call_record>;
+
   /// Records of the product made otherwise.
   auto keep(const std::vector<call_record> &Records) -> void;
 
@@ -59,6 +74,9 @@
   auto broken() const -> const broken_promises & { return Broken; }
 
 private:
+  /// A line for each answer in answers.log, for looking into a run.
+  auto writeRecords() const -> void;
+
   session_options Options;
   event_loop Loop;
   cluster Cluster;
--- a/bench/core/topology.cpp
+++ b/bench/core/topology.cpp
@@ -95,8 +95,10 @@
 
 auto deploymentText(const topology &Topology) -> std::string {
   const std::vector<target_place> Targets = placeTargets(Topology);
-  std::string Text = "most_instances: 16\naddress_lifetime: 2s\npoison_hold: " +
-                     Topology.PoisonHold + "\n\nservices:\n";
+  std::string Text =
+      "most_instances: " + std::to_string(Topology.MostInstances) +
+      "\naddress_lifetime: 2s\npoison_hold: " + Topology.PoisonHold +
+      "\n\nservices:\n";
   for (const service_id &Service : allServices(Topology)) {
     Text += "  - id: " + Service + "\n    team: shop\n    index: catalogue\n";
     Text += "    limits: {slots: " + std::to_string(Topology.Slots) +
--- a/bench/core/topology.h
+++ b/bench/core/topology.h
@@ -22,6 +22,7 @@
   std::size_t GroupCount = 1; ///< of each service
   std::size_t ReplicaCount = 3;
   std::size_t EntryCount = 6;
+  std::size_t MostInstances = 8; ///< two more than EntryCount, for overlap
   std::size_t DomainCount = 3;
   std::size_t Slots = 5;
   std::size_t Connections = 40;
--- a/bench/experiments/experiments.cpp
+++ b/bench/experiments/experiments.cpp
@@ -10,6 +10,13 @@
       experiment{"lostreplica", runLostReplica},
       experiment{"overload", runOverload},
       experiment{"overhead", runOverhead},
+      experiment{"repartition", runRepartition},
+      experiment{"atmostonce", runAtMostOnce},
+      experiment{"poison", runPoison},
+      experiment{"limits", runLimits},
+      experiment{"config", runConfig},
+      experiment{"roll", runRoll},
+      experiment{"outage", runOutage},
   };
   return Table;
 }
