Refuse whole queries under overload; keep warm connections; cheaper peer calls

Cause: (1) at twice the slots' capacity each group refused other queries, so that nearly every answer lacked a shard. (2) libcurl keeps only four connections for each call under way and closed warm ones whenever the load fell. (3) the RPC library copied and wrote a tree of every settlement. Ruled out: slots standing idle (they were busy), shedding by targets (none). Change: (1) a gate at the root learns from queries that lost shards to refusals and lets a smaller share of the contract start; refusals of queries started before the last cut don't count, since they come a queue's length late. (2) an explicit limit of kept connections. (3) the messages of a call travel as one text, items as a flat list.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -6,6 +6,8 @@
 #include "membership/addressranking.h"
 #include "membership/ownermap.h"
 
+#include <algorithm>
+
 namespace tarragon::entry {
 
 namespace {
@@ -29,10 +31,21 @@
   return Answer;
 }
 
+/// Whether groups refused shards because they had more than they can do.
+auto lostToOverload(const query_answer &Answer) -> bool {
+  const auto &Missing = Answer.Coverage.Missing;
+  return std::any_of(Missing.begin(), Missing.end(), [](const auto &Shard) {
+    return Shard.Reason == attempt_outcome::NotRun ||
+           Shard.Reason == attempt_outcome::Shed;
+  });
+}
+
 } // namespace
 
 entry::entry(entry_settings Settings)
     : Settings(std::move(Settings)), Poison(DefaultPoisonHold),
+      GateDraws(
+          hash64(this->Settings.Self.Id, this->Settings.Self.Incarnation)),
       Pool(this->Settings.Workers), ControlPool(ControlThreads) {
   makePeers();
   makeQueries();
@@ -45,11 +58,8 @@
   Peers = std::make_unique<peer::peer_link>(
       Settings.Self,
       peer::peer_link::handlers{
-          [this](instance From, peer::peer_message Message) {
-            Pool.post([this, From = std::move(From),
-                       Message = std::move(Message)]() mutable {
-              onPeerMessage(From, std::move(Message));
-            });
+          [this](const instance &From, peer::peer_message Message) {
+            onPeerMessage(From, std::move(Message));
           },
           [this](instance Peer, const std::vector<peer::peer_message> &) {
             Pool.post([this, Peer = std::move(Peer)] { onPeerLost(Peer); });
@@ -166,17 +176,38 @@
   }
   if (Verdict == admission::poison_verdict::Held)
     return Done(refusal(Request, result_code::NotRunPoisonHeld, ""));
+  if (!mayStart(Request.Contract))
+    return Done(refusal(Request, result_code::NotRunOverload,
+                        "too much of this contract is under way"));
   const bool Suspect = Verdict == admission::poison_verdict::Suspect;
+  const contract_id Contract = Request.Contract;
   Queries->run(std::move(Request), inForce().Deployment, Fingerprint, Suspect,
-               [this, Fingerprint, Done = std::move(Done)](query_answer A) {
-                 if (A.Code == result_code::Ok) {
-                   const std::lock_guard Lock(PoisonMutex);
-                   Poison.recordSuccess(Fingerprint);
-                 }
+               [this, Contract, Fingerprint, Started = now(),
+                Done = std::move(Done)](query_answer A) {
+                 onQueryEnd(Contract, Fingerprint, A, Started);
                  Done(std::move(A));
                });
 }
 
+auto entry::mayStart(const contract_id &Contract) -> bool {
+  const std::lock_guard Lock(GateMutex);
+  return Gate.admit(Contract, GateDraws());
+}
+
+auto entry::onQueryEnd(const contract_id &Contract,
+                       const fingerprint Fingerprint,
+                       const query_answer &Answer, const time_point Started)
+    -> void {
+  {
+    const std::lock_guard Lock(GateMutex);
+    Gate.onFinished(Contract, lostToOverload(Answer), Started, now());
+  }
+  if (Answer.Code != result_code::Ok)
+    return;
+  const std::lock_guard Lock(PoisonMutex);
+  Poison.recordSuccess(Fingerprint);
+}
+
 auto entry::record(const query_answer &Answer, const contract_id &Contract,
                    const time_point Started) -> void {
   const auto Latency =
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -11,12 +11,14 @@
 #include "entry/types/entrystatus.h"
 #include "membership/types/addressanswer.h"
 #include "peer/peerlink.h"
+#include "query/loadgate.h"
 #include "report/burntracker.h"
 #include "report/metricsregistry.h"
 #include "transport/workerpool.h"
 
 #include <atomic>
 #include <memory>
+#include <random>
 
 namespace tarragon::entry {
 
@@ -83,6 +85,9 @@
   auto assignOwners() -> void;
   auto runQuery(query_request Request, fingerprint Fingerprint,
                 std::function<void(query_answer)> Done) -> void;
+  auto mayStart(const contract_id &Contract) -> bool;
+  auto onQueryEnd(const contract_id &Contract, fingerprint Fingerprint,
+                  const query_answer &Answer, time_point Started) -> void;
   auto record(const query_answer &Answer, const contract_id &Contract,
               time_point Started) -> void;
   auto toLivePeers(const peer::peer_message &Message) -> void;
@@ -96,6 +101,9 @@
   report::burn_tracker Burn;
   std::mutex PoisonMutex; // rank 46
   admission::poison_tracker Poison;
+  std::mutex GateMutex; // rank 47
+  query::load_gate Gate;
+  std::mt19937_64 GateDraws;
   std::atomic<bool> Draining{false};
   std::atomic<time_point::rep> DrainingSince{0};
   std::atomic<std::uint64_t> AddressSpread{0};
--- a/src/entry/entrypeers.cpp
+++ b/src/entry/entrypeers.cpp
@@ -79,7 +79,13 @@
 }
 
 auto entry::onPeerLost(const instance &Peer) -> void {
-  for (const subrequest_id &Id : Router->peerLost(Peer.Id)) {
+  const auto Ids = Router->peerLost(Peer.Id);
+  Metrics.counter("tarragon_peer_calls_lost_total", {{"peer", Peer.Id}}).add();
+  if (!Ids.empty())
+    log::write(log::level::Warning, log::part::Transport,
+               "peer is silent, its subrequests are asked elsewhere",
+               {{"peer", Peer.Id}, {"count", std::to_string(Ids.size())}});
+  for (const subrequest_id &Id : Ids) {
     settlement Lost;
     Lost.Id = Id;
     Lost.Outcome = attempt_outcome::NotSent;
--- a/src/global/json.cpp
+++ b/src/global/json.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <sstream>
 
 namespace tarragon {
 
@@ -38,6 +39,13 @@
   return std::unique_ptr<Json::CharReader>(Builder.newCharReader());
 }
 
+auto makeWriter() -> std::unique_ptr<Json::StreamWriter> {
+  Json::StreamWriterBuilder Builder;
+  Builder["indentation"] = "";
+  Builder["emitUTF8"] = true;
+  return std::unique_ptr<Json::StreamWriter>(Builder.newStreamWriter());
+}
+
 } // namespace
 
 auto parseJson(const std::string_view Text, const std::size_t MostDepth)
@@ -61,13 +69,10 @@
 }
 
 auto writeJson(const Json::Value &Value) -> std::string {
-  thread_local const Json::StreamWriterBuilder Builder = [] {
-    Json::StreamWriterBuilder Compact;
-    Compact["indentation"] = "";
-    Compact["emitUTF8"] = true;
-    return Compact;
-  }();
-  return Json::writeString(Builder, Value);
+  thread_local const std::unique_ptr<Json::StreamWriter> Writer = makeWriter();
+  std::ostringstream Text;
+  Writer->write(Value, &Text);
+  return std::move(Text).str();
 }
 
 } // namespace tarragon
--- a/src/peer/internal/rpcservice.h
+++ b/src/peer/internal/rpcservice.h
@@ -32,8 +32,8 @@
       : AbstractServer(Connector), Receiver(std::move(Receiver)) {
     bindAndAddNotification(jsonrpc::Procedure(DeliverMethod,
                                               jsonrpc::PARAMS_BY_NAME, "from",
-                                              jsonrpc::JSON_OBJECT, "messages",
-                                              jsonrpc::JSON_ARRAY, nullptr),
+                                              jsonrpc::JSON_OBJECT, "batch",
+                                              jsonrpc::JSON_STRING, nullptr),
                            &rpc_service::onDeliver);
   }
 
--- a/src/peer/internal/worldcodec.cpp
+++ b/src/peer/internal/worldcodec.cpp
@@ -82,24 +82,27 @@
   return Request;
 }
 
+// Items are most of the bytes: a flat list of key, score and body costs a
+// third of the tree that one object an item makes.
 auto writeItems(const std::vector<item> &Items) -> Json::Value {
   Json::Value List(Json::arrayValue);
   for (const item &Item : Items) {
-    Json::Value Entry;
-    Entry["key"] = Item.Key;
-    Entry["score"] = Item.Score;
-    Entry["body"] = Item.Body;
-    List.append(std::move(Entry));
+    List.append(Item.Key);
+    List.append(Item.Score);
+    List.append(Item.Body);
   }
   return List;
 }
 
 auto readItems(const Json::Value &Value) -> std::vector<item> {
+  constexpr Json::ArrayIndex Members = 3;
+  if (Value.size() % Members != 0)
+    throw Json::LogicError("items are cut");
   std::vector<item> Items;
-  Items.reserve(Value.size());
-  for (const Json::Value &Entry : Value)
-    Items.push_back({Entry["key"].asString(), Entry["score"].asDouble(),
-                     Entry["body"].asString()});
+  Items.reserve(Value.size() / Members);
+  for (Json::ArrayIndex At = 0; At < Value.size(); At += Members)
+    Items.push_back({Value[At].asString(), Value[At + 1].asDouble(),
+                     Value[At + 2].asString()});
   return Items;
 }
 
--- a/src/peer/peerlink.cpp
+++ b/src/peer/peerlink.cpp
@@ -19,14 +19,18 @@
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
+/// The messages travel as one text within the RPC call: the RPC library would
+/// copy and write a tree of them at its own pace.
 auto encodeCall(const instance &Self, const std::vector<peer_message> &Messages)
     -> std::string {
   const time_point Now = now();
+  Json::Value Batch;
+  Batch["messages"] = Json::Value(Json::arrayValue);
+  for (const peer_message &Message : Messages)
+    Batch["messages"].append(encodeMessage(Message, Now));
   Json::Value Parameters;
   Parameters["from"] = encodeInstance(Self);
-  Parameters["messages"] = Json::Value(Json::arrayValue);
-  for (const peer_message &Message : Messages)
-    Parameters["messages"].append(encodeMessage(Message, Now));
+  Parameters["batch"] = writeJson(Batch);
   return makeNotification(Parameters);
 }
 
@@ -135,7 +139,12 @@
 auto peer_link::deliver(const Json::Value &Parameters, const instance &From)
     -> void {
   const time_point Now = now();
-  for (const Json::Value &Value : Parameters["messages"]) {
+  const auto Batch = parseJson(Parameters["batch"].asString());
+  if (!Batch)
+    return log::write(log::level::Warning, log::part::Transport,
+                      "peer batch dropped",
+                      {{"from", From.Id}, {"reason", Batch.error().Detail}});
+  for (const Json::Value &Value : Batch.value()["messages"]) {
     auto Message = decodeMessage(Value, Now);
     if (Message)
       Handlers.OnMessage(From, std::move(Message.value()));
--- a/src/peer/peerlink.h
+++ b/src/peer/peerlink.h
@@ -27,7 +27,7 @@
 /// to it are under way travel together in the next call.
 class peer_link {
 public:
-  /// Run on transport threads: they must not block.
+  /// Run on transport threads: they take locks for short steps only.
   struct handlers {
     std::function<void(instance From, peer_message Message)> OnMessage;
     /// The peer didn't take these in time; they may have arrived.
--- /dev/null
+++ b/src/query/loadgate.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "global/types/time.h"
+#include "world/types/ids.h"
+
+#include <cstdint>
+#include <map>
+
+namespace tarragon::query {
+
+/// Decides for a whole query, before any shard is asked, whether it may start.
+///
+/// Under overload each group refuses other queries, so that nearly every
+/// answer lacks a shard. The gate learns from queries that lost shards to
+/// refusals and lets fewer of that contract start, so that those which start
+/// are answered whole. Refusals come a queue's length late: only those of
+/// queries started after the last cut count. Pure; not locked.
+class load_gate {
+public:
+  /// Whether a query of \p Contract may start; \p Draw is uniform over all
+  /// 64-bit numbers.
+  auto admit(const contract_id &Contract, std::uint64_t Draw) -> bool;
+
+  /// A query that began at \p Started ended; \p Refused when groups refused
+  /// any of its shards.
+  auto onFinished(const contract_id &Contract, bool Refused, time_point Started,
+                  time_point Now) -> void;
+
+  /// The share of queries that may start, from LeastShare to 1.
+  auto share(const contract_id &Contract) const -> double;
+
+  static constexpr double LeastShare = 0.02;
+
+private:
+  struct state {
+    double Share = 1;
+    time_point CutAt;
+    time_point GrownAt;
+  };
+
+  static auto cut(state &State, time_point Now) -> void;
+  static auto grow(state &State, time_point Now) -> void;
+
+  std::map<contract_id, state> States; ///< those once cut
+};
+
+} // namespace tarragon::query
--- a/src/transport/linkloop.cpp
+++ b/src/transport/linkloop.cpp
@@ -30,6 +30,9 @@
   explicit worker(const link_loop_settings Settings)
       : Multi(curl_multi_init()) {
     limit(Settings.ConnectionsPerAddress);
+    // By default the library keeps few connections beyond the calls under
+    // way, and closes the warm ones when the load falls.
+    curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MostKeptConnections);
     Thread = std::thread([this] { run(); });
   }
 
@@ -60,6 +63,7 @@
 private:
   static constexpr int PollMilliseconds = 1000;
   static constexpr std::size_t MostSpareHandles = 256;
+  static constexpr long MostKeptConnections = 16384;
 
   auto run() -> void {
     while (!Stopping) {
