--- a/src/query/internal/serviceview.cpp
+++ b/src/query/internal/serviceview.cpp
@@ -24,18 +24,9 @@
 
 service_view::service_view(const version_table &Table, const service &Service) {
   takeHint(Table, Service);
-  for (const replica_group &Group : Service.Groups) {
-    const bool AnyFresh = std::any_of(
-        Group.Targets.begin(), Group.Targets.end(), [&](const target &Target) {
-          const auto Spoke = Table.Said.find(Target.Id);
-          return Spoke != Table.Said.end() && !Spoke->second.Stale;
-        });
-    group_view View;
-    View.Oldest = std::numeric_limits<index_version>::max();
-    for (const target &Target : Group.Targets)
-      addTarget(View, Table, Target.Id, AnyFresh);
-    Groups.push_back(std::move(View));
-  }
+  Groups.reserve(Service.Groups.size());
+  for (const replica_group &Group : Service.Groups)
+    Groups.push_back(viewGroup(Table, Group));
 }
 
 auto service_view::takeHint(const version_table &Table, const service &Service)
@@ -53,34 +44,43 @@
       if (Spoke != Table.Said.end() && belies(Spoke->second.Held, Told))
         return;
     }
-  Hint = Told;
+  Hint.push_back(Told);
 }
 
-auto service_view::addTarget(group_view &Group, const version_table &Table,
-                             const target_id &Target, const bool SkipStale)
-    -> void {
-  const auto Spoke = Table.Said.find(Target);
-  if (Spoke == Table.Said.end()) {
-    Group.AnySilent = true;
-    if (Hint)
-      Group.Held.emplace(Hint->Version, Hint->ShardCount);
-    return;
+auto service_view::viewGroup(const version_table &Table,
+                             const replica_group &Group) const -> group_view {
+  group_view View;
+  View.Oldest = std::numeric_limits<index_version>::max();
+  std::vector<std::span<const held_version>> Stale;
+  for (const target &Target : Group.Targets) {
+    const auto Spoke = Table.Said.find(Target.Id);
+    if (Spoke == Table.Said.end()) {
+      View.AnySilent = true;
+      continue;
+    }
+    const auto &[Held, At, IsStale] = Spoke->second;
+    View.Oldest = std::min(View.Oldest, Held.front().Version);
+    (IsStale ? Stale : View.Lists).emplace_back(Held);
   }
-  index_version Newest = 0;
-  for (const held_version &Held : Spoke->second.Held)
-    Newest = std::max(Newest, Held.Version);
-  Group.Oldest = std::min(Group.Oldest, Newest);
-  if (SkipStale && Spoke->second.Stale)
-    return;
-  for (const held_version &Held : Spoke->second.Held)
-    Group.Held.emplace(Held.Version, Held.ShardCount);
+  if (View.Lists.empty())
+    View.Lists = std::move(Stale);
+  if (View.AnySilent && !Hint.empty())
+    View.Lists.emplace_back(Hint);
+  return View;
+}
+
+auto service_view::group_view::holds(const held_version Version) const -> bool {
+  return std::any_of(Lists.begin(), Lists.end(), [Version](const auto &List) {
+    return std::find(List.begin(), List.end(), Version) != List.end();
+  });
 }
 
 auto service_view::versions() const -> std::set<index_version> {
   std::set<index_version> All;
   for (const group_view &Group : Groups)
-    for (const auto &[Version, Count] : Group.Held)
-      All.insert(Version);
+    for (const auto &List : Group.Lists)
+      for (const held_version &Held : List)
+        All.insert(Held.Version);
   return All;
 }
 
@@ -88,9 +88,10 @@
     -> std::set<std::size_t> {
   std::set<std::size_t> Counts;
   for (const group_view &Group : Groups)
-    for (auto At = Group.Held.lower_bound({Version, 0});
-         At != Group.Held.end() && At->first == Version; ++At)
-      Counts.insert(At->second);
+    for (const auto &List : Group.Lists)
+      for (const held_version &Held : List)
+        if (Held.Version == Version)
+          Counts.insert(Held.ShardCount);
   return Counts;
 }
 
@@ -101,7 +102,7 @@
   const std::size_t Needed = std::min(Count, Groups.size());
   for (std::size_t Index = 0; Index < Needed; ++Index) {
     const group_view &Group = Groups[Index];
-    if (Group.Held.contains({Version, Count}))
+    if (Group.holds({Version, Count}))
       continue;
     if (Likely && (Group.AnySilent || Group.Oldest < Version))
       continue;
--- a/src/query/internal/serviceview.h
+++ b/src/query/internal/serviceview.h
@@ -3,14 +3,19 @@
 #include "query/versiontable.h"
 
 #include <set>
+#include <span>
 
 namespace tarragon::query {
 
-/// What a version table knows of one service, for one decision.
+/// What a version table knows of one service, for one decision: valid until
+/// the table changes.
 class service_view {
 public:
   service_view(const version_table &Table, const service &Service);
 
+  service_view(service_view &&) = default;
+  service_view(const service_view &) = delete; ///< Lists point into Hint
+
   /// Every version that some target is known to hold.
   auto versions() const -> std::set<index_version>;
 
@@ -31,14 +36,16 @@
 private:
   /// What is known of the targets of one group.
   struct group_view {
-    std::set<std::pair<index_version, std::size_t>> Held;
+    std::vector<std::span<const held_version>> Lists; ///< one a target
     index_version Oldest = 0; ///< lowest "newest version" of its targets
     bool AnySilent = false;   ///< a target said nothing
+
+    auto holds(held_version Version) const -> bool;
   };
 
   auto takeHint(const version_table &Table, const service &Service) -> void;
-  auto addTarget(group_view &Group, const version_table &Table,
-                 const target_id &Target, bool SkipStale) -> void;
+  auto viewGroup(const version_table &Table, const replica_group &Group) const
+      -> group_view;
   auto countsOf(index_version Version) const -> std::set<std::size_t>;
   auto heldByAll(index_version Version, std::size_t Count, bool Likely) const
       -> bool;
@@ -47,7 +54,7 @@
   auto newestCount() const -> std::size_t;
 
   std::vector<group_view> Groups;
-  std::optional<held_version> Hint;
+  std::vector<held_version> Hint; ///< one or none
 };
 
 } // namespace tarragon::query
--- a/src/query/versiontable.h
+++ b/src/query/versiontable.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace tarragon::query {
@@ -62,14 +63,14 @@
 
   /// What one target said last.
   struct said_versions {
-    std::vector<held_version> Held;
+    std::vector<held_version> Held; ///< newest first, never empty
     time_point At;
     bool Stale = false;
   };
 
   auto dropOldestTarget() -> void;
 
-  std::map<target_id, said_versions> Said;
+  std::unordered_map<target_id, said_versions> Said;
   std::map<std::string, pinned_snapshot> Hints; ///< by index
 };
 
