Bound change ids and operators

Cause: Long names could grow the head over the platform's limit, and a refused write was then told as unknown. Change: both are texts of 1 to 200 bytes; only a lost reply or a conflict leaves a write of the head open.

--- a/src/config/configacceptance.h
+++ b/src/config/configacceptance.h
@@ -38,12 +38,11 @@
   /// Tries to put a file in force and says truthfully what became of it.
   /// \p InForce is the configuration that this instance has; it saves reads.
   ///
-  /// Codes: Accepted: Ok. NotAccepted: MalformedRequest (no change id),
-  /// Config* (the file's first fault),
-  /// ForbiddenTeam, ConfigConflict (with winner and differences),
-  /// ConfigUnchanged (the file is in force already), PlatformUnavailable
-  /// (this call sent nothing that may take effect later). Unknown:
-  /// ConfigOutcomeUnknown.
+  /// Codes: Accepted: Ok. NotAccepted: MalformedRequest (no proper change id or
+  /// operator), Config* (the file's first fault), ForbiddenTeam, ConfigConflict
+  /// (with winner and differences), ConfigUnchanged (the file is in force
+  /// already), PlatformUnavailable (this call sent nothing that may take effect
+  /// later). Unknown: ConfigOutcomeUnknown.
   auto apply(Store &Platform, const apply_request &Request,
              const accepted_config &InForce) -> apply_outcome;
 
@@ -237,7 +236,8 @@
                          {}};
   Last = Written.error();
   // A conflict may stem from a first arrival of this very write.
-  if (Last.Code != result_code::PlatformUnavailable)
+  if (Last.Code == result_code::ReplyLost ||
+      Last.Code == result_code::ObjectConflict)
     MayLand = true;
   return std::nullopt;
 }
@@ -269,9 +269,8 @@
                                      const accepted_config &InForce)
     -> apply_outcome {
   MayLand = false;
-  if (Request.ChangeId.empty())
-    return refuse({result_code::MalformedRequest, "The change id is empty"},
-                  InForce.Version);
+  if (auto Refused = checkNames(Request, InForce.Version))
+    return std::move(*Refused);
   const parsed_file File = parseDeployment(Request.Text);
   if (!File.Faults.empty())
     return refuse(
--- a/src/config/internal/requestcheck.cpp
+++ b/src/config/internal/requestcheck.cpp
@@ -1,10 +1,22 @@
 #include "config/internal/requestcheck.h"
 
 #include "config/deploymentfile.h"
+#include "config/internal/textcheck.h"
 #include "global/hash.h"
 
 namespace tarragon::config {
 
+namespace {
+
+constexpr std::size_t LongestName = 200; ///< bytes
+
+auto isShortText(const std::string &Text) -> bool {
+  return !Text.empty() && Text.size() <= LongestName &&
+         findBadByte(Text) == Text.size();
+}
+
+} // namespace
+
 auto refuse(const failure &Why, const config_version Seen) -> apply_outcome {
   return {apply_state::NotAccepted, Why.Code, Seen, Why.Detail, {}, {}};
 }
@@ -23,6 +35,16 @@
           {}};
 }
 
+auto checkNames(const apply_request &Request, const config_version Seen)
+    -> std::optional<apply_outcome> {
+  if (isShortText(Request.ChangeId) && isShortText(Request.Operator))
+    return std::nullopt;
+  return refuse({result_code::MalformedRequest,
+                 "Change id and operator must be texts of 1 to " +
+                     std::to_string(LongestName) + " bytes"},
+                Seen);
+}
+
 auto checkAgainstHead(const config_head &Head, const apply_request &Request,
                       const accepted_config &InForce)
     -> std::optional<apply_outcome> {
--- a/src/config/internal/requestcheck.h
+++ b/src/config/internal/requestcheck.h
@@ -20,6 +20,11 @@
 auto exhausted(const failure &Last, bool MayLand, config_version Seen)
     -> apply_outcome;
 
+/// MalformedRequest when change id or operator are no text of a length that
+/// the head can hold for each of its changes.
+auto checkNames(const apply_request &Request, config_version Seen)
+    -> std::optional<apply_outcome>;
+
 /// Why \p Request may not replace \p Head: nothing would change, or the head
 /// is older than what is in force here.
 auto checkAgainstHead(const config_head &Head, const apply_request &Request,
--- a/src/config/tests/acceptance_tests.cpp
+++ b/src/config/tests/acceptance_tests.cpp
@@ -115,8 +115,9 @@
   Request.Text += "odd: 1\n";
   expect(makeAcceptance().apply(Store, Request, {}), apply_state::NotAccepted,
          result_code::ConfigUnknownKey);
-  expect(makeAcceptance().apply(Store, request(150, "", 0), {}),
-         apply_state::NotAccepted, result_code::MalformedRequest);
+  for (const std::string &ChangeId : {std::string(), std::string(201, 'c')})
+    expect(makeAcceptance().apply(Store, request(150, ChangeId, 0), {}),
+           apply_state::NotAccepted, result_code::MalformedRequest);
 }
 
 BOOST_AUTO_TEST_CASE(other_teams_objects_are_protected) {
