--- a/src/entry/configrunner.cpp
+++ b/src/entry/configrunner.cpp
@@ -8,6 +8,8 @@
 
 #include <json/json.h>
 
+#include <algorithm>
+
 namespace tarragon::entry {
 
 namespace {
@@ -16,6 +18,8 @@
 constexpr milliseconds FirstRetry{50};
 constexpr milliseconds LongestRetry{1000};
 constexpr milliseconds ReachedFor{5000};
+/// Between reads of a list that names no other instance yet.
+constexpr milliseconds LonePeriod{200};
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
@@ -59,6 +63,7 @@
     Stopping = true;
   }
   Stopped.notify_all();
+  Platform.interruptWatches();
   if (Watcher.joinable())
     Watcher.join();
   if (Poller.joinable())
@@ -153,16 +158,17 @@
 
 auto config_runner::pollLists() -> void {
   while (pause(milliseconds{0})) {
-    readLists();
+    const bool Alone = !readLists();
     readSnapshots();
-    pause(Settings.ListPeriod);
+    pause(Alone ? std::min(LonePeriod, Settings.ListPeriod)
+                : Settings.ListPeriod);
   }
 }
 
-auto config_runner::readLists() -> void {
+auto config_runner::readLists() -> bool {
   const auto Roster = Platform.instanceRoster();
   if (!Roster)
-    return;
+    return true;
   markReached();
   Handlers.OnInstances(Roster.value().Instances);
   std::set<target_id> Leaving;
@@ -170,6 +176,7 @@
     if (Target.Leaving)
       Leaving.insert(Target.Id);
   Handlers.OnLeavingTargets(Leaving);
+  return Roster.value().Instances.size() > 1;
 }
 
 auto config_runner::readSnapshots() -> void {
--- a/src/entry/configrunner.h
+++ b/src/entry/configrunner.h
@@ -50,7 +50,8 @@
 private:
   auto watchHead() -> void;
   auto pollLists() -> void;
-  auto readLists() -> void;
+  /// False when the list names no other instance.
+  auto readLists() -> bool;
   auto readSnapshots() -> void;
   auto load() -> bool;
   auto markReached() -> void;
