Refuse a waiting request that has less left than 95% of attempts need

Cause: at twice the capacity some requests started too late to be answered. Change: the time that a waiting request must have left is the 95th instead of the 90th percentile of its contract's latencies.

--- a/src/admission/internal/contractstats.cpp
+++ b/src/admission/internal/contractstats.cpp
@@ -8,7 +8,7 @@
 constexpr int RefreshEvery = 16;
 constexpr int MeanWeight = 32;
 constexpr double LateShare = 0.95;
-constexpr double NeededShare = 0.9;
+constexpr double NeededShare = 0.95;
 
 } // namespace
 
