Give groups only to configured instances; start from peers in an outage

Cause: (1) a new instance became owner at once; what it was sent before it knew its peers or had a configuration was lost until the deadline. (2) a new instance that starts while the platform is down knew nobody. (3) the gate saw overload only when shards were refused. Change: (1) owners and handed out addresses are those that told a configuration; settlements go back to the sender of the dispatch, known to the member table or not. (3) mostly late answers count as overload.

--- a/src/app/daemonsettings.cpp
+++ b/src/app/daemonsettings.cpp
@@ -24,6 +24,9 @@
     {"caller-listen", "127.0.0.1:7100", "IP:port for callers and operators"},
     {"peer-listen", "127.0.0.1:7200", "IP:port for the other instances"},
     {"platform", "127.0.0.1:7000", "IP:port of the platform's object API"},
+    {"peers", "",
+     "IP:port of other instances, separated by commas, to ask "
+     "when the platform is away"},
     {"admin-token", "", "bearer tokens, [team=]token, separated by commas"},
     {"workers", "3", "worker threads"},
     {"caller-threads", "4", "threads that serve callers"},
@@ -50,6 +53,18 @@
   return Name;
 }
 
+auto splitList(const std::string &Text) -> std::vector<std::string> {
+  std::vector<std::string> Parts;
+  std::size_t From = 0;
+  while (From < Text.size()) {
+    const auto Comma = std::min(Text.find(',', From), Text.size());
+    if (Comma > From)
+      Parts.push_back(Text.substr(From, Comma - From));
+    From = Comma + 1;
+  }
+  return Parts;
+}
+
 /// Reads the texts of all settings and collects what is wrong with them.
 class reader {
 public:
@@ -70,6 +85,14 @@
     return text(Flag);
   }
 
+  auto ipAddresses(const std::string &Flag) -> std::vector<address> {
+    std::vector<address> Addresses = splitList(text(Flag));
+    for (const address &Address : Addresses)
+      if (const auto Split = transport::splitAddress(Address); !Split)
+        fault(Flag, Split.error().Detail);
+    return Addresses;
+  }
+
   auto number(const std::string &Flag, const int Least, const int Most) -> int {
     const auto [Number, Unit] = split(text(Flag));
     if (!Unit.empty() || Number < Least || Number > Most)
@@ -125,18 +148,13 @@
 
 auto readTokens(const std::string &Text) -> std::map<std::string, team_id> {
   std::map<std::string, team_id> Tokens;
-  std::size_t From = 0;
-  while (From < Text.size()) {
-    const auto Comma = std::min(Text.find(',', From), Text.size());
-    const std::string One = Text.substr(From, Comma - From);
+  for (const std::string &One : splitList(Text)) {
     const auto Equals = One.find('=');
     if (Equals == std::string::npos)
       Tokens.emplace(One, "");
     else
       Tokens.emplace(One.substr(Equals + 1), One.substr(0, Equals));
-    From = Comma + 1;
   }
-  Tokens.erase("");
   return Tokens;
 }
 
@@ -179,6 +197,7 @@
   Entry.Self.PeerAddress = Reader.ipAddress("peer-listen");
   Entry.Self.Incarnation = makeIncarnation();
   Entry.Platform = Reader.ipAddress("platform");
+  Entry.Seeds = Reader.ipAddresses("peers");
   Entry.Tokens = readTokens(Reader.text("admin-token"));
   Entry.Workers = Reader.number("workers", 1, 64);
   Entry.CallerThreads = Reader.number("caller-threads", 1, 64);
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -15,6 +15,8 @@
 constexpr int ControlThreads = 2;
 constexpr milliseconds ForwardPatience{2000};
 constexpr milliseconds DefaultPoisonHold{600000};
+/// Of its deadline: an answer that took more counts as late.
+constexpr double LateShare = 0.6;
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
@@ -180,8 +182,10 @@
     return Done(refusal(Request, result_code::NotRunOverload,
                         "too much of this contract is under way"));
   const bool Suspect = Verdict == admission::poison_verdict::Suspect;
-  const contract_id Contract = Request.Contract;
-  Queries->run(std::move(Request), inForce().Deployment, Fingerprint, Suspect,
+  const auto Current = inForce().Deployment;
+  const contract *const Found = Current->findContract(Request.Contract);
+  const contract Contract = Found ? *Found : contract{};
+  Queries->run(std::move(Request), Current, Fingerprint, Suspect,
                [this, Contract, Fingerprint, Started = now(),
                 Done = std::move(Done)](query_answer A) {
                  onQueryEnd(Contract, Fingerprint, A, Started);
@@ -194,13 +198,15 @@
   return Gate.admit(Contract, GateDraws());
 }
 
-auto entry::onQueryEnd(const contract_id &Contract,
-                       const fingerprint Fingerprint,
+auto entry::onQueryEnd(const contract &Contract, const fingerprint Fingerprint,
                        const query_answer &Answer, const time_point Started)
     -> void {
   {
     const std::lock_guard Lock(GateMutex);
-    Gate.onFinished(Contract, lostToOverload(Answer), Started, now());
+    Gate.onFinished(Contract.Id,
+                    {lostToOverload(Answer),
+                     now() - Started > Contract.Deadline * LateShare},
+                    Started, now());
   }
   if (Answer.Code != result_code::Ok)
     return;
@@ -250,8 +256,8 @@
   const auto Current = inForce().Deployment;
   const milliseconds Lifetime =
       Current ? Current->AddressLifetime : deployment{}.AddressLifetime;
-  return membership::rankAddresses(All, CallerDomain, ++AddressSpread,
-                                   Lifetime);
+  return membership::rankAddresses(configured(All), CallerDomain,
+                                   ++AddressSpread, Lifetime);
 }
 
 auto entry::postControl(transport::worker_pool::job Job) -> void {
@@ -284,11 +290,23 @@
   assignOwners();
 }
 
+auto entry::configured(std::vector<instance> All) const
+    -> std::vector<instance> {
+  const auto Told = Members->toldConfigs();
+  std::erase_if(All, [&](const instance &Member) {
+    if (Member.Id == Settings.Self.Id)
+      return inForce().Version == 0;
+    const auto Found = Told.find(Member.Id);
+    return Found == Told.end() || Found->second.Version == 0;
+  });
+  return All;
+}
+
 auto entry::assignOwners() -> void {
   const auto Current = Config ? inForce().Deployment : nullptr;
   if (!Current)
     return;
-  const auto All = Members->members();
+  const auto All = configured(Members->members());
   std::map<group_id, instance> Owners;
   std::set<group_id> Owned;
   for (const service &Service : Current->Services)
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -82,11 +82,13 @@
                      const subrequest_router::sent &Sent) -> void;
   auto onMembers(const std::vector<instance> &Members) -> void;
   auto onAdopted(const config::accepted_config &Config) -> void;
+  /// Those that have a configuration and so can serve.
+  auto configured(std::vector<instance> All) const -> std::vector<instance>;
   auto assignOwners() -> void;
   auto runQuery(query_request Request, fingerprint Fingerprint,
                 std::function<void(query_answer)> Done) -> void;
   auto mayStart(const contract_id &Contract) -> bool;
-  auto onQueryEnd(const contract_id &Contract, fingerprint Fingerprint,
+  auto onQueryEnd(const contract &Contract, fingerprint Fingerprint,
                   const query_answer &Answer, time_point Started) -> void;
   auto record(const query_answer &Answer, const contract_id &Contract,
               time_point Started) -> void;
@@ -110,6 +112,8 @@
   std::atomic<std::uint64_t> RequestNumber{0};
   transport::worker_pool Pool;
   transport::worker_pool ControlPool;
+  mutable std::mutex SenderMutex;          // rank 21
+  std::map<instance_id, instance> Senders; ///< peers heard, by id
   std::unique_ptr<peer::peer_link> Peers;
   std::unique_ptr<dispatch_runner> Dispatch;
   std::unique_ptr<subrequest_router> Router;
--- a/src/entry/entrypeers.cpp
+++ b/src/entry/entrypeers.cpp
@@ -30,6 +30,10 @@
 auto entry::onPeerMessage(const instance &From, peer::peer_message Message)
     -> void {
   Router->peerHeard(From.Id);
+  {
+    const std::lock_guard Lock(SenderMutex);
+    Senders[From.Id] = From;
+  }
   std::visit([this, &From](auto &&One) { handle(From, std::move(One)); },
              std::move(Message));
 }
@@ -97,9 +101,16 @@
 auto entry::onSettled(const instance_id &Root, settlement Settlement) -> void {
   if (Root == Settings.Self.Id)
     return settleHere(Settlement);
-  const auto To = Members->find(Root);
-  if (To)
-    Peers->send(*To, peer::settle_message{std::move(Settlement)});
+  instance To;
+  {
+    // The member table may not know the sender of a dispatch yet.
+    const std::lock_guard Lock(SenderMutex);
+    const auto Found = Senders.find(Root);
+    if (Found == Senders.end())
+      return;
+    To = Found->second;
+  }
+  Peers->send(To, peer::settle_message{std::move(Settlement)});
 }
 
 auto entry::settleHere(const settlement &Settlement) -> void {
--- a/src/entry/membershiprunner.cpp
+++ b/src/entry/membershiprunner.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr milliseconds GreetPeriod{500};
+
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
 auto tableSettings(const entry_settings &Settings)
@@ -25,13 +27,29 @@
 membership_runner::membership_runner(const entry_settings &Settings,
                                      transport::worker_pool &Pool,
                                      handlers Handlers)
-    : Pool(Pool), Handlers(std::move(Handlers)),
+    : Pool(Pool), Handlers(std::move(Handlers)), Self(Settings.Self),
+      Seeds(Settings.Seeds),
       Table(Settings.Self, tableSettings(Settings),
             hash64(Settings.Self.Id, Settings.Self.Incarnation), now()) {}
 
 auto membership_runner::start() -> void {
   afterStep();
   arrangeWake();
+  greetSeeds();
+}
+
+auto membership_runner::greetSeeds() -> void {
+  if (members().size() > 1)
+    return;
+  for (const address &Seed : Seeds) {
+    instance To;
+    To.PeerAddress = Seed;
+    membership::gossip_message Greeting;
+    Greeting.From = Self;
+    Handlers.Send(To, std::move(Greeting));
+  }
+  if (!Seeds.empty())
+    Pool.postAt(now() + GreetPeriod, [this] { greetSeeds(); });
 }
 
 auto membership_runner::onMessage(const membership::gossip_message &Message)
@@ -39,7 +57,11 @@
   messages Out;
   {
     const std::lock_guard Lock(Mutex);
-    Told[Message.From.Id] = {Message.Config, now()};
+    told_config &Last = Told[Message.From.Id];
+    // An instance that has its first configuration can own groups now.
+    if (Last.Version == 0 && Message.Config > 0)
+      LastMembers.clear();
+    Last = {Message.Config, now()};
     Out = Table.onMessage(Message, now());
   }
   send(std::move(Out));
--- a/src/entry/membershiprunner.h
+++ b/src/entry/membershiprunner.h
@@ -51,9 +51,13 @@
   auto afterStep() -> void;
   auto arrangeWake() -> void;
   auto onWake() -> void;
+  /// Pings the seeds while no other instance is known.
+  auto greetSeeds() -> void;
 
   transport::worker_pool &Pool;
   handlers Handlers;
+  instance Self;
+  std::vector<address> Seeds;
   mutable std::mutex Mutex; // rank 20
   membership::member_table Table;
   std::vector<instance> LastMembers;
--- a/src/entry/types/entrysettings.h
+++ b/src/entry/types/entrysettings.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace tarragon::entry {
 
@@ -13,6 +14,7 @@
 struct entry_settings {
   instance Self; ///< its Incarnation differs between lives and grows
   address Platform;
+  std::vector<address> Seeds; ///< peers to ask while the list names none
   std::map<std::string, team_id> Tokens; ///< bearer token to its team; an
                                          ///< empty team may change everything
   int Workers = 3;
--- a/src/query/loadgate.cpp
+++ b/src/query/loadgate.cpp
@@ -10,6 +10,8 @@
 /// How far past the capacity the load is shows only after a queue's length.
 constexpr double FirstCutFactor = 0.6;
 constexpr double CutFactor = 0.93;
+constexpr double LateWeight = 0.05;
+constexpr double MostLate = 0.3;
 constexpr double GainPerSecond = 0.08;
 /// An idle time says nothing of what could be served meanwhile.
 constexpr milliseconds LongestGrowth{500};
@@ -24,18 +26,20 @@
   return Share >= 1 || static_cast<double>(Draw) < Share * Most;
 }
 
-auto load_gate::onFinished(const contract_id &Contract, const bool Refused,
+auto load_gate::onFinished(const contract_id &Contract, const query_end End,
                            const time_point Started, const time_point Now)
     -> void {
   const auto Found = States.find(Contract);
-  if (Found == States.end() && !Refused)
+  if (Found == States.end() && !End.Refused && !End.Late)
     return;
   state &State = States[Contract];
-  if (!Refused)
+  State.LateShare += LateWeight * ((End.Late ? 1.0 : 0.0) - State.LateShare);
+  const bool Congested = End.Refused || State.LateShare > MostLate;
+  if (!Congested)
     grow(State, Now);
   else if (Started >= State.CutAt)
     cut(State, Now);
-  if (State.Share >= 1)
+  if (State.Share >= 1 && State.LateShare < LateWeight / 2)
     States.erase(Contract);
 }
 
--- a/src/query/loadgate.h
+++ b/src/query/loadgate.h
@@ -14,17 +14,23 @@
 /// answer lacks a shard. The gate learns from queries that lost shards to
 /// refusals and lets fewer of that contract start, so that those which start
 /// are answered whole. Refusals come a queue's length late: only those of
-/// queries started after the last cut count. Pure; not locked.
+/// queries started after the last cut count. When many answers are late, the
+/// queues are long and refusals near: that counts as much. Pure; not locked.
 class load_gate {
 public:
+  /// What an ended query tells of the load.
+  struct query_end {
+    bool Refused = false; ///< groups refused some of its shards
+    bool Late = false;    ///< it took a good part of its deadline
+  };
+
   /// Whether a query of \p Contract may start; \p Draw is uniform over all
   /// 64-bit numbers.
   auto admit(const contract_id &Contract, std::uint64_t Draw) -> bool;
 
-  /// A query that began at \p Started ended; \p Refused when groups refused
-  /// any of its shards.
-  auto onFinished(const contract_id &Contract, bool Refused, time_point Started,
-                  time_point Now) -> void;
+  /// A query that began at \p Started ended.
+  auto onFinished(const contract_id &Contract, query_end End,
+                  time_point Started, time_point Now) -> void;
 
   /// The share of queries that may start, from LeastShare to 1.
   auto share(const contract_id &Contract) const -> double;
@@ -34,6 +40,7 @@
 private:
   struct state {
     double Share = 1;
+    double LateShare = 0; ///< moving average
     time_point CutAt;
     time_point GrownAt;
   };
--- a/src/query/tests/loadgate_tests.cpp
+++ b/src/query/tests/loadgate_tests.cpp
@@ -19,7 +19,7 @@
   time_point Now = Start;
   for (int Cut = 0; Cut < Count; ++Cut) {
     Now += 1s;
-    Gate.onFinished(Contract, true, Now, Now);
+    Gate.onFinished(Contract, {.Refused = true}, Now, Now);
   }
   return Now;
 }
@@ -51,7 +51,7 @@
 
 BOOST_AUTO_TEST_CASE(everything_starts_while_nothing_is_refused) {
   load_gate Gate;
-  Gate.onFinished("search", false, Start, Start);
+  Gate.onFinished("search", {}, Start, Start);
   BOOST_TEST(Gate.admit("search", ~std::uint64_t{0}));
 }
 
@@ -65,17 +65,31 @@
 BOOST_AUTO_TEST_CASE(a_burst_of_late_refusals_is_one_cut) {
   load_gate Gate;
   for (int Count = 0; Count < 1000; ++Count)
-    Gate.onFinished("search", true, Start, Start + 1s);
+    Gate.onFinished("search", {.Refused = true}, Start, Start + 1s);
   BOOST_TEST(Gate.share("search") > 0.5);
   BOOST_TEST(Gate.share("search") < 1.0);
 }
 
+BOOST_AUTO_TEST_CASE(a_few_late_answers_are_no_overload) {
+  load_gate Gate;
+  for (int Count = 0; Count < 10000; ++Count)
+    Gate.onFinished("search", {.Late = Count % 10 == 0}, Start, Start + 1s);
+  BOOST_TEST(Gate.share("search") == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(mostly_late_answers_are) {
+  load_gate Gate;
+  for (int Count = 0; Count < 100; ++Count)
+    Gate.onFinished("search", {.Late = true}, Start, Start + 1s);
+  BOOST_TEST(Gate.share("search") < 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(a_gate_opens_again_from_its_least_share) {
   load_gate Gate;
   time_point Now = refuseFresh(Gate, "search", 200);
   BOOST_TEST(Gate.share("search") == load_gate::LeastShare);
   for (int Count = 0; Count < 600; ++Count)
-    Gate.onFinished("search", false, Now, Now += 100ms);
+    Gate.onFinished("search", {}, Now, Now += 100ms);
   BOOST_TEST(Gate.share("search") == 1.0);
 }
 
@@ -92,7 +106,8 @@
     while (!Queue.Endings.empty() && Queue.Endings.front().At <= Now) {
       const auto Ending = Queue.Endings.front();
       Queue.Endings.pop_front();
-      Gate.onFinished("search", Ending.Refused, Ending.Started, Now);
+      const bool Late = Ending.At - Ending.Started > served_queue::Patience / 2;
+      Gate.onFinished("search", {Ending.Refused, Late}, Ending.Started, Now);
       Whole += Count >= Warm && !Ending.Refused ? 1 : 0;
       Refused += Count >= Warm && Ending.Refused ? 1 : 0;
     }
