Give the schedule test its own copy of a doubled settlement

Cause: under the address sanitizer the test read a settlement that its vector had moved, so doubled settlements were told with random content. Change: told by value. part_set loses a branch that never ran. Figures: query_tests and once_tests pass with address and undefined-behaviour sanitizers, and without; the codes reached are the same as before. Conclusion: the fault was in the test alone.

--- a/src/query/internal/partset.cpp
+++ b/src/query/internal/partset.cpp
@@ -29,8 +29,6 @@
 
 auto part_set::retry(const std::size_t Index) -> void {
   query_part &Part = Parts[Index];
-  if (Part.Reason == attempt_outcome::WrongVersion)
-    --LackVersion;
   if (!Part.MayHaveRun)
     --ProvenNotRun;
   if (Part.Reason == attempt_outcome::Crashed)
--- a/src/query/internal/partset.h
+++ b/src/query/internal/partset.h
@@ -27,7 +27,8 @@
   /// A pending part has failed; \p Proven: this try did not run.
   auto fail(std::size_t Index, attempt_outcome Reason, bool Proven) -> void;
 
-  /// A failed part is pending again, by its next try.
+  /// A part that failed by a crash or the loss of its dispatcher is pending
+  /// again, by its next try.
   auto retry(std::size_t Index) -> void;
 
   auto anyPending() const -> bool { return Pending > 0; }
--- a/src/query/tests/schedule_tests.cpp
+++ b/src/query/tests/schedule_tests.cpp
@@ -160,7 +160,7 @@
     return Settlement;
   }
 
-  auto tell(const settlement &Settlement, sent_subrequest *One) -> void {
+  auto tell(const settlement Settlement, sent_subrequest *One) -> void {
     if (One != nullptr) {
       Attempts += One->Live ? Settlement.Attempts : 0;
       One->Live = false;
