--- a/src/admission/internal/dispatcherresults.cpp
+++ b/src/admission/internal/dispatcherresults.cpp
@@ -206,6 +206,8 @@
   if (Request.End.Attempts == 0 && !Pool.anyFor(Request, Now)) {
     const auto [Outcome, Position] = Pool.refusalOf(Request, Now);
     Request.End.Outcome = Outcome;
+    if (Position)
+      Request.End.Target = Pool.targetAt(*Position).Id;
     if (Outcome == attempt_outcome::WrongVersion && Position)
       Request.End.Held = Pool.heldBy(*Position);
   }
--- a/src/admission/internal/targetlearning.cpp
+++ b/src/admission/internal/targetlearning.cpp
@@ -144,6 +144,7 @@
   target_state &Target = Targets[Position];
   if (!Held.empty()) {
     Target.Held = Held;
+    Target.HeldAt = Now;
     Target.Lacks.clear();
   }
   if (Outcome != attempt_outcome::WrongVersion)
--- a/src/admission/internal/targetpool.cpp
+++ b/src/admission/internal/targetpool.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds ProbeEvery{500};
 /// Probes leave the request that carries them to a doubtful target.
 constexpr milliseconds UnhedgedProbeDelay{2000};
+constexpr milliseconds HeldMemory{2000};
 constexpr milliseconds ShedMemory{500}; ///< no hedge for so long
 constexpr std::size_t SampledTargets = 2;
 constexpr double SameScore = 0.8; ///< scores this near count as equal
@@ -25,6 +26,8 @@
                     return Lacked.Version == Wanted && Now < Lacked.Until;
                   }))
     return false;
+  if (Now >= Target.HeldAt + HeldMemory)
+    return true;
   return std::all_of(Target.Held.begin(), Target.Held.end(),
                      [&](const held_version &Held) {
                        return Held.Version < Wanted.Version;
--- a/src/admission/internal/targetstate.h
+++ b/src/admission/internal/targetstate.h
@@ -17,6 +17,7 @@
   int InFlight = 0;
   int SuspectsInFlight = 0;
   std::vector<held_version> Held; ///< empty when not told
+  time_point HeldAt;              ///< when it told so
   std::vector<lacked_version> Lacks;
   target_health Health;
   time_point CrashedAt; ///< since its last answer; zero when it did not
