Cut the gate at most once a deadline

Cause: a group refuses at once what it can't serve, so fresh refusals came within milliseconds of a cut and caused the next ones: the share fell to a third where half could be served, and grew back at 8% a second. Ruled out: refusals without a full queue (p99 of whole answers was 116 ms only because the load had been cut too far). Change: within one deadline of the contract only one cut is made.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -203,10 +203,10 @@
     -> void {
   {
     const std::lock_guard Lock(GateMutex);
+    const bool Late = now() - Started > Contract.Deadline * LateShare;
     Gate.onFinished(Contract.Id,
-                    {lostToOverload(Answer),
-                     now() - Started > Contract.Deadline * LateShare},
-                    Started, now());
+                    {lostToOverload(Answer), Late, Contract.Deadline}, Started,
+                    now());
   }
   if (Answer.Code != result_code::Ok)
     return;
--- a/src/query/loadgate.cpp
+++ b/src/query/loadgate.cpp
@@ -37,7 +37,7 @@
   const bool Congested = End.Refused || State.LateShare > MostLate;
   if (!Congested)
     grow(State, Now);
-  else if (Started >= State.CutAt)
+  else if (Started >= State.CutAt && Now >= State.CutAt + End.Deadline)
     cut(State, Now);
   if (State.Share >= 1 && State.LateShare < LateWeight / 2)
     States.erase(Contract);
--- a/src/query/loadgate.h
+++ b/src/query/loadgate.h
@@ -13,15 +13,16 @@
 /// Under overload each group refuses other queries, so that nearly every
 /// answer lacks a shard. The gate learns from queries that lost shards to
 /// refusals and lets fewer of that contract start, so that those which start
-/// are answered whole. Refusals come a queue's length late: only those of
-/// queries started after the last cut count. When many answers are late, the
+/// are answered whole. A cut shows once the queues have drained: within one
+/// deadline only one cut is made. When many answers are late, the
 /// queues are long and refusals near: that counts as much. Pure; not locked.
 class load_gate {
 public:
   /// What an ended query tells of the load.
   struct query_end {
-    bool Refused = false; ///< groups refused some of its shards
-    bool Late = false;    ///< it took a good part of its deadline
+    bool Refused = false;     ///< groups refused some of its shards
+    bool Late = false;        ///< it took a good part of its deadline
+    milliseconds Deadline{0}; ///< of its contract: no queue is longer
   };
 
   /// Whether a query of \p Contract may start; \p Draw is uniform over all
--- a/src/query/tests/loadgate_tests.cpp
+++ b/src/query/tests/loadgate_tests.cpp
@@ -41,7 +41,9 @@
     const bool Refused = FreeAt - Now > Patience;
     if (!Refused)
       FreeAt += Service;
-    Endings.push_back({Refused ? Now : FreeAt, Now, Refused});
+    // A refusal comes at once, an answer in its turn.
+    Endings.insert(Refused ? Endings.begin() : Endings.end(),
+                   {Refused ? Now : FreeAt, Now, Refused});
   }
 };
 
@@ -70,6 +72,15 @@
   BOOST_TEST(Gate.share("search") < 1.0);
 }
 
+BOOST_AUTO_TEST_CASE(refusals_at_once_are_one_cut_in_a_deadline) {
+  load_gate Gate;
+  for (int Count = 1; Count <= 500; ++Count) {
+    const time_point Now = Start + std::chrono::milliseconds(Count);
+    Gate.onFinished("search", {.Refused = true, .Deadline = 600ms}, Now, Now);
+  }
+  BOOST_TEST(Gate.share("search") > 0.5);
+}
+
 BOOST_AUTO_TEST_CASE(a_few_late_answers_are_no_overload) {
   load_gate Gate;
   for (int Count = 0; Count < 10000; ++Count)
@@ -107,7 +118,8 @@
       const auto Ending = Queue.Endings.front();
       Queue.Endings.pop_front();
       const bool Late = Ending.At - Ending.Started > served_queue::Patience / 2;
-      Gate.onFinished("search", {Ending.Refused, Late}, Ending.Started, Now);
+      Gate.onFinished("search", {Ending.Refused, Late, served_queue::Patience},
+                      Ending.Started, Now);
       Whole += Count >= Warm && !Ending.Refused ? 1 : 0;
       Refused += Count >= Warm && Ending.Refused ? 1 : 0;
     }
