Bring no draining target back on word of a lagging list

Cause: a list that lags shows a target live that has just answered that it drains; and a submission could start waiting requests whose timers were due. Change: Returned may be repeated for each live target and waits out 5 s after the target's own word; submit runs due timers first. Conclusion: the caller may pass on the list as it is.

--- a/src/admission/internal/dispatchercore.cpp
+++ b/src/admission/internal/dispatchercore.cpp
@@ -35,6 +35,8 @@
 
 auto dispatcher_core::submit(subrequest NewRequest, const time_point Now)
     -> void {
+  runTimers(Now);
+  Pool.takeReturned(Now);
   const auto [Entry, New] =
       Known.try_emplace({NewRequest.Root, NewRequest.Id}, LastRequest + 1);
   if (!New)
@@ -96,7 +98,7 @@
 auto dispatcher_core::onTargetSign(const target_id &Target,
                                    const target_sign Sign, const time_point Now)
     -> void {
-  Pool.onSign(Target, Sign);
+  Pool.onSign(Target, Sign, Now);
   giveUpUnservable(Now);
 }
 
@@ -114,6 +116,7 @@
 
 auto dispatcher_core::takeActions(const time_point Now) -> dispatch_actions {
   runTimers(Now);
+  Pool.takeReturned(Now);
   fillSlots(Now);
   PoolWake.reset();
   if (Queue.size() > 0)
--- a/src/admission/internal/targetlearning.cpp
+++ b/src/admission/internal/targetlearning.cpp
@@ -45,6 +45,8 @@
     return;
   case attempt_outcome::Leaving:
     Target.Leaving = true;
+    Target.SaidLeaving = Now;
+    Target.ReturnAt.reset();
     return;
   case attempt_outcome::Expired:
     if (Elapsed < SlowFactor * bestLatency())
--- a/src/admission/internal/targetpool.cpp
+++ b/src/admission/internal/targetpool.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-constexpr double Unlimited = 1e9;
 constexpr milliseconds ProbeEvery{500};
 /// Probes leave the request that carries them to a doubtful target.
 constexpr milliseconds UnhedgedProbeDelay{2000};
+/// A list may show a target live for so long after it began to leave.
+constexpr milliseconds ListLag{5000};
 constexpr milliseconds HeldMemory{2000};
 constexpr milliseconds ShedMemory{500}; ///< no hedge for so long
 constexpr std::size_t SampledTargets = 2;
@@ -84,7 +85,8 @@
   }
 }
 
-auto target_pool::onSign(const target_id &Id, const target_sign Sign) -> void {
+auto target_pool::onSign(const target_id &Id, const target_sign Sign,
+                         const time_point Now) -> void {
   const auto Found =
       std::find_if(Targets.begin(), Targets.end(),
                    [&](const auto &T) { return T.Target.Id == Id; });
@@ -93,21 +95,28 @@
   switch (Sign) {
   case target_sign::Leaving:
     Found->Leaving = true;
+    Found->ReturnAt.reset();
     return;
   case target_sign::Returned:
-    if (!Found->Leaving)
-      return;
-    Found->Leaving = false;
-    Found->Held.clear();
-    Found->Lacks.clear();
-    Found->Latency = microseconds{0};
-    Found->LateShare = 0;
-    Found->ShedLimit = Unlimited;
-    Found->Health.restart();
+    if (Found->Leaving && !Found->ReturnAt)
+      Found->ReturnAt = std::max(Now, Found->SaidLeaving + ListLag);
+    takeReturned(Now);
     return;
   }
 }
 
+auto target_pool::takeReturned(const time_point Now) -> void {
+  for (target_state &Target : Targets) {
+    if (!Target.ReturnAt || Now < *Target.ReturnAt)
+      continue;
+    target_state Fresh{.Target = Target.Target, .Listed = Target.Listed};
+    Fresh.InFlight = Target.InFlight;
+    Fresh.SuspectsInFlight = Target.SuspectsInFlight;
+    Fresh.Health.restart();
+    Target = std::move(Fresh);
+  }
+}
+
 auto target_pool::choose(const request_state &Request,
                          const std::size_t Waiting, const time_point Now)
     -> std::optional<std::size_t> {
@@ -284,6 +293,8 @@
       Next = At;
   };
   for (const target_state &Target : Targets) {
+    if (Target.ReturnAt)
+      Consider(*Target.ReturnAt);
     if (!inUse(Target))
       continue;
     Consider(Target.PausedUntil);
--- a/src/admission/internal/targetpool.h
+++ b/src/admission/internal/targetpool.h
@@ -20,7 +20,10 @@
   auto reconfigure(const target_limits &Limits, const replica_group &Group,
                    int MostInstances) -> void;
   auto setRole(dispatcher_role Role) -> void;
-  auto onSign(const target_id &Id, target_sign Sign) -> void;
+  auto onSign(const target_id &Id, target_sign Sign, time_point Now) -> void;
+
+  /// Takes back targets whose return was told and is in force by now.
+  auto takeReturned(time_point Now) -> void;
 
   /// The best target that may take an attempt of \p Request now, while
   /// \p Waiting requests want slots.
--- a/src/admission/internal/targetstate.h
+++ b/src/admission/internal/targetstate.h
@@ -5,6 +5,7 @@
 #include "admission/internal/targethealth.h"
 #include "world/types/target.h"
 
+#include <optional>
 #include <vector>
 
 namespace tarragon::admission::internal {
@@ -14,6 +15,8 @@
   target Target;
   bool Listed = true; ///< in the configuration in force
   bool Leaving = false;
+  time_point SaidLeaving;             ///< when it last answered so itself
+  std::optional<time_point> ReturnAt; ///< when a told return comes in force
   int InFlight = 0;
   int SuspectsInFlight = 0;
   std::vector<held_version> Held; ///< empty when not told
--- a/src/admission/tests/groupdispatcher_tests.cpp
+++ b/src/admission/tests/groupdispatcher_tests.cpp
@@ -249,3 +249,30 @@
   }
   BOOST_TEST(Refusals <= 2);
 }
+
+BOOST_AUTO_TEST_CASE(a_lagging_list_brings_no_draining_target_back) {
+  auto Dispatcher = makeDispatcher(dispatcher_role::Owner);
+  const auto First =
+      pick<start_attempt>(Dispatcher.submit(makeRequest(1), Start));
+  BOOST_REQUIRE(First.size() == 1U);
+  const target_id Draining = First[0].Target.Id;
+  Dispatcher.onAttemptDone(
+      {.Attempt = First[0].Attempt, .Outcome = attempt_outcome::Leaving},
+      Start);
+  const auto TriesAfter = [&](const milliseconds Wait) {
+    std::ptrdiff_t Tries = 0;
+    time_point Now = Start + Wait;
+    Dispatcher.onTargetSign(Draining, target_sign::Returned, Now);
+    for (std::uint64_t Query = 0; Query < 20; ++Query) {
+      auto Request = makeRequest(Wait.count() * 100 + Query);
+      Request.Deadline = Now + 200ms;
+      auto Actions = Dispatcher.submit(Request, Now);
+      for (const auto &Attempt : pick<start_attempt>(Actions))
+        Tries += Attempt.Target.Id == Draining ? 1 : 0;
+      answerAll(Dispatcher, std::move(Actions), Now);
+    }
+    return Tries;
+  };
+  BOOST_TEST(TriesAfter(1s) == 0);
+  BOOST_TEST(TriesAfter(6s) > 0);
+}
