--- a/src/admission/internal/dispatcherresults.cpp
+++ b/src/admission/internal/dispatcherresults.cpp
@@ -15,12 +15,6 @@
   return std::chrono::duration_cast<microseconds>(Duration);
 }
 
-/// Whether a retry after \p Outcome may do without a token: the target pool
-/// paces attempts after such a refusal, so that retries can't add up.
-auto retriesFreely(const attempt_outcome Outcome) -> bool {
-  return provesNotRun(Outcome);
-}
-
 } // namespace
 
 auto dispatcher_core::onAttemptDone(const attempt_result &Result,
@@ -116,7 +110,9 @@
     return false;
   if (!Pool.anyFor(Request, Now))
     return false;
-  return Budget.take() || retriesFreely(Outcome);
+  // Retries of what ran nowhere can't add up: the target pool paces attempts
+  // after such refusals.
+  return Budget.take() || Request.End.ProvenNotRun;
 }
 
 auto dispatcher_core::noteCrash(const attempt_state &Attempt,
