Bench: callers look for another instance when tickets can't be had

Cause: callers whose first address was dead waited for their address answer to expire before they took tickets elsewhere, which counted as latency and came down on the restarted instance in one burst. Change: a failed ticket call makes the caller ask for addresses at the next address.

--- a/bench/core/loadclient.cpp
+++ b/bench/core/loadclient.cpp
@@ -96,11 +96,14 @@
               {},
               {},
               milliseconds(1000)},
-             [&Caller](const http_answer &Answer) {
+             [this, &Caller](const http_answer &Answer) {
                Caller.AskingTickets = false;
                const auto Body = parseJson(Answer.Body);
-               if (Answer.Status != 200 || !Body)
+               if (Answer.Status != 200 || !Body) {
+                 if (!Caller.Asking)
+                   refresh(Caller, 1); // the first address doesn't do
                  return;
+               }
                for (const Json::Value &Ticket : Body.value()["tickets"])
                  Caller.Tickets.push_back(Ticket.asString());
              });
