--- a/src/admission/poisontracker.h
+++ b/src/admission/poisontracker.h
@@ -25,6 +25,9 @@
   /// Crashes count for \p Hold after they were seen.
   explicit poison_tracker(milliseconds Hold);
 
+  /// Changes how long crashes count, also those seen before.
+  auto setHold(milliseconds NewHold) -> void { Hold = NewHold; }
+
   /// Takes a crash seen here or told by a peer; the same one counts once.
   auto recordCrash(const crash_report &Report, time_point Now) -> void;
 
--- a/src/entry/adminapi.cpp
+++ b/src/entry/adminapi.cpp
@@ -44,6 +44,9 @@
     return refuse(Responder, Team.error());
   if (Request.Method == "GET")
     return handleGet(Request, Responder);
+  if (Request.Method != "POST")
+    return refuse(Responder, fail(result_code::NotFound,
+                                  Request.Method + " " + Request.Path));
   handlePost(Request, Team.value(), std::move(Responder));
 }
 
--- a/src/entry/configrunner.cpp
+++ b/src/entry/configrunner.cpp
@@ -71,6 +71,9 @@
 }
 
 auto config_runner::adopt(config::accepted_config Config) -> void {
+  // Adoptions from the platform and from peers are carried out one after the
+  // other, or the older one could come last.
+  const std::lock_guard Order(AdoptMutex);
   config::accepted_config Now;
   {
     const std::lock_guard Lock(Mutex);
@@ -94,6 +97,14 @@
   return Adoption.newest();
 }
 
+auto config_runner::refusal() const -> std::string {
+  const std::lock_guard Lock(Mutex);
+  const auto &Refused = Adoption.refused();
+  return Refused ? "version " + std::to_string(Refused->Config.Version) + ": " +
+                       Refused->Fault.Detail
+                 : std::string();
+}
+
 auto config_runner::apply(const config::apply_request &Request)
     -> config::apply_outcome {
   config::acceptance_settings Acceptance;
@@ -178,10 +189,10 @@
   markReached();
   Handlers.OnInstances(Roster.value().Instances);
   std::set<target_id> Leaving;
+  std::set<target_id> Live;
   for (const platform::target_state &Target : Roster.value().Targets)
-    if (Target.Leaving)
-      Leaving.insert(Target.Id);
-  Handlers.OnLeavingTargets(Leaving);
+    (Target.Leaving ? Leaving : Live).insert(Target.Id);
+  Handlers.OnTargets(Leaving, Live);
   return Roster.value().Instances.size() > 1;
 }
 
--- a/src/entry/configrunner.h
+++ b/src/entry/configrunner.h
@@ -24,7 +24,9 @@
   struct handlers {
     std::function<void(const config::accepted_config &)> OnAdopted;
     std::function<void(const std::vector<instance> &)> OnInstances;
-    std::function<void(const std::set<target_id> &)> OnLeavingTargets;
+    std::function<void(const std::set<target_id> &Leaving,
+                       const std::set<target_id> &Live)>
+        OnTargets;
     std::function<void(const std::string &Index, query::pinned_snapshot)>
         OnSnapshot;
   };
@@ -40,6 +42,9 @@
   auto inForce() const -> config::accepted_config;
   auto newest() const -> config::accepted_config;
 
+  /// Why a newer accepted configuration is not in force here; else empty.
+  auto refusal() const -> std::string;
+
   /// Tries to put a file in force. Blocks for as long as the platform takes.
   auto apply(const config::apply_request &Request) -> config::apply_outcome;
 
@@ -61,6 +66,7 @@
   entry_settings Settings;
   handlers Handlers;
   platform::platform_client Platform;
+  std::mutex AdoptMutex;    // rank 5: held while an adoption is carried out
   mutable std::mutex Mutex; // rank 10
   std::condition_variable Stopped;
   bool Stopping = false;
--- a/src/entry/dispatchrunner.cpp
+++ b/src/entry/dispatchrunner.cpp
@@ -5,6 +5,7 @@
 #include "transport/workerpool.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace tarragon::entry {
@@ -14,6 +15,8 @@
 using admission::dispatcher_role;
 using admission::target_sign;
 
+constexpr std::uint64_t SeedStep = 0x9e3779b97f4a7c15;
+
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
 /// What every instance may hold open to one target of any service.
@@ -34,35 +37,58 @@
 
 dispatch_runner::~dispatch_runner() = default;
 
-auto dispatch_runner::reconfigure(const deployment &Deployment) -> void {
+auto dispatch_runner::reconfigure(const deployment &Deployment,
+                                  const config_version NewVersion) -> void {
   Link.limitConnections(connectionShare(Deployment));
-  std::vector<slot_pointer> Retired;
-  std::vector<std::pair<slot_pointer, std::pair<service, replica_group>>> Kept;
+  std::vector<std::pair<slot_pointer, const service *>> Kept;
   {
     const std::lock_guard Lock(Mutex);
+    Version = NewVersion;
     std::map<group_id, slot_pointer> Next;
     for (const service &Service : Deployment.Services)
       for (const replica_group &Group : Service.Groups) {
-        const auto Found = Slots.find(Group.Id);
-        if (Found != Slots.end()) {
-          Kept.push_back({Found->second, {Service, Group}});
-          Next.insert(*Found);
+        const auto Found = Slots.extract(Group.Id);
+        if (Found.empty()) {
+          Next.emplace(Group.Id, makeSlot(Deployment, Service, Group));
           continue;
         }
-        const admission::dispatcher_settings Settings{
-            Self.Id, Self.Incarnation, Self.Domain, Deployment.MostInstances,
-            hash64(Group.Id, Self.Incarnation)};
-        Next.emplace(Group.Id,
-                     std::make_shared<slot>(Service, Group, Settings));
+        Kept.emplace_back(Found.mapped(), &Service);
+        Next.emplace(Group.Id, Found.mapped());
       }
     // A retired dispatcher lives on until what it runs has ended.
+    for (const auto &[Group, Slot] : Slots)
+      Retired.push_back(Slot);
     Slots.swap(Next);
   }
-  for (const auto &[Slot, Parts] : Kept)
-    step(Slot, [&](admission::group_dispatcher &Dispatcher) {
-      return Dispatcher.reconfigure(Parts.first, Parts.second,
-                                    Deployment.MostInstances, now());
-    });
+  for (const auto &[Slot, Service] : Kept)
+    reconfigureSlot(Slot, *Service, Deployment.MostInstances);
+}
+
+auto dispatch_runner::makeSlot(const deployment &Deployment,
+                               const service &Service,
+                               const replica_group &Group) -> slot_pointer {
+  // The version keeps the attempts of a dispatcher that is made again apart
+  // from those of the one before.
+  const std::uint64_t Seed =
+      hash64(Group.Id, Self.Incarnation ^ (Version * SeedStep));
+  const admission::dispatcher_settings Settings{
+      Self.Id, Self.Incarnation, Self.Domain, Deployment.MostInstances, Seed};
+  return std::make_shared<slot>(Service, Group, Settings);
+}
+
+auto dispatch_runner::reconfigureSlot(const slot_pointer &Slot,
+                                      const service &Service,
+                                      const int MostInstances) -> void {
+  const auto Found = std::find_if(
+      Service.Groups.begin(), Service.Groups.end(),
+      [&Slot](const auto &Group) { return Group.Id == Slot->Group.Id; });
+  if (Found == Service.Groups.end())
+    return;
+  const replica_group &Group = *Found;
+  step(Slot, [&](admission::group_dispatcher &Dispatcher) {
+    Slot->Group = Group;
+    return Dispatcher.reconfigure(Service, Group, MostInstances, now());
+  });
 }
 
 auto dispatch_runner::setOwned(const std::set<group_id> &NowOwned) -> void {
@@ -105,42 +131,33 @@
   });
 }
 
-auto dispatch_runner::setLeaving(const std::set<target_id> &NowLeaving)
-    -> void {
-  std::vector<std::pair<target_id, target_sign>> Signs;
-  std::vector<slot_pointer> All;
-  {
-    const std::lock_guard Lock(Mutex);
-    for (const target_id &Target : NowLeaving)
-      if (!Leaving.contains(Target))
-        Signs.emplace_back(Target, target_sign::Leaving);
-    for (const target_id &Target : Leaving)
-      if (!NowLeaving.contains(Target))
-        Signs.emplace_back(Target, target_sign::Returned);
-    Leaving = NowLeaving;
-    for (const auto &[Group, Slot] : Slots)
-      All.push_back(Slot);
-  }
-  for (const auto &[Target, Sign] : Signs) {
-    log::write(log::level::Info, log::part::Admission,
-               Sign == target_sign::Leaving ? "target leaves"
-                                            : "target returned",
-               {{"target", Target}});
-    for (const slot_pointer &Slot : All)
-      step(Slot, [&, Target = Target,
-                  Sign = Sign](admission::group_dispatcher &Dispatcher) {
-        return Dispatcher.onTargetSign(Target, Sign, now());
-      });
-  }
+auto dispatch_runner::setTargetStates(const std::set<target_id> &Leaving,
+                                      const std::set<target_id> &Live) -> void {
+  for (const slot_pointer &Slot : allSlots())
+    step(Slot, [&](admission::group_dispatcher &Dispatcher) {
+      admission::dispatch_actions Actions;
+      for (const target &Target : Slot->Group.Targets) {
+        const bool Leaves = Leaving.contains(Target.Id);
+        if (!Leaves && !Live.contains(Target.Id))
+          continue;
+        const auto Sign = Leaves ? target_sign::Leaving : target_sign::Returned;
+        auto More = Dispatcher.onTargetSign(Target.Id, Sign, now());
+        std::move(More.begin(), More.end(), std::back_inserter(Actions));
+      }
+      return Actions;
+    });
+}
+
+auto dispatch_runner::allSlots() const -> std::vector<slot_pointer> {
+  const std::lock_guard Lock(Mutex);
+  std::vector<slot_pointer> All = Retired;
+  for (const auto &[Group, Slot] : Slots)
+    All.push_back(Slot);
+  return All;
 }
 
 auto dispatch_runner::idle() const -> bool {
-  std::vector<slot_pointer> All;
-  {
-    const std::lock_guard Lock(Mutex);
-    for (const auto &[Group, Slot] : Slots)
-      All.push_back(Slot);
-  }
+  const auto All = allSlots();
   return std::all_of(All.begin(), All.end(), [](const slot_pointer &Slot) {
     const std::lock_guard Lock(Slot->Mutex);
     return Slot->Dispatcher.idle();
@@ -160,10 +177,15 @@
 template <class Event>
 auto dispatch_runner::step(const slot_pointer &Slot, Event &&Apply) -> void {
   admission::dispatch_actions Actions;
+  std::vector<admission::crash_report> Crashes;
   {
     const std::lock_guard Lock(Slot->Mutex);
     Actions = Apply(Slot->Dispatcher);
+    Crashes = Slot->Dispatcher.takeCrashes();
   }
+  // Told before the settlements, so that what follows them finds it known.
+  for (const admission::crash_report &Crash : Crashes)
+    Handlers.OnCrash(Crash);
   perform(Slot, std::move(Actions));
   arrangeWake(Slot);
 }
@@ -184,12 +206,8 @@
 auto dispatch_runner::startAttempt(const slot_pointer &Slot,
                                    const admission::start_attempt &Start)
     -> void {
-  const admission::crash_report Crash{Start.Request.Fingerprint,
-                                      Start.Target.Id, Start.Request.Suspect};
-  Link.start(Start, [this, Slot, Crash](admission::attempt_result Result) {
-    Pool.post([this, Slot, Crash, Result = std::move(Result)] {
-      if (Result.Outcome == attempt_outcome::Crashed)
-        Handlers.OnCrash(Crash);
+  Link.start(Start, [this, Slot](admission::attempt_result Result) {
+    Pool.post([this, Slot, Result = std::move(Result)] {
       step(Slot, [&](admission::group_dispatcher &Dispatcher) {
         return Dispatcher.onAttemptDone(Result, now());
       });
--- a/src/entry/dispatchrunner.h
+++ b/src/entry/dispatchrunner.h
@@ -35,7 +35,8 @@
   ~dispatch_runner();
 
   /// Makes, changes and retires dispatchers after a change of configuration.
-  auto reconfigure(const deployment &Deployment) -> void;
+  auto reconfigure(const deployment &Deployment, config_version Version)
+      -> void;
 
   /// Takes which groups this instance owns now.
   auto setOwned(const std::set<group_id> &Owned) -> void;
@@ -45,8 +46,10 @@
   auto cancel(const subrequest_id &Id, const instance_id &Root,
               const group_id &Group) -> void;
 
-  /// Takes the platform's word on which targets leave.
-  auto setLeaving(const std::set<target_id> &Leaving) -> void;
+  /// Takes the platform's word on targets: which leave, which are live. To be
+  /// repeated with each reading of the list.
+  auto setTargetStates(const std::set<target_id> &Leaving,
+                       const std::set<target_id> &Live) -> void;
 
   /// Whether no dispatcher has work queued or in flight.
   auto idle() const -> bool;
@@ -57,14 +60,21 @@
     slot(const service &Service, const replica_group &Group,
          const admission::dispatcher_settings &Settings)
         : Dispatcher(Service, Group, Settings,
-                     admission::dispatcher_role::Guest) {}
+                     admission::dispatcher_role::Guest),
+          Group(Group) {}
     std::mutex Mutex; // rank 60
     admission::group_dispatcher Dispatcher;
+    replica_group Group;
     time_point WakeAt = time_point::max(); ///< the earliest wake arranged
   };
   using slot_pointer = std::shared_ptr<slot>;
 
   auto find(const group_id &Group) const -> slot_pointer;
+  auto allSlots() const -> std::vector<slot_pointer>;
+  auto makeSlot(const deployment &Deployment, const service &Service,
+                const replica_group &Group) -> slot_pointer;
+  auto reconfigureSlot(const slot_pointer &Slot, const service &Service,
+                       int MostInstances) -> void;
   auto perform(const slot_pointer &Slot, admission::dispatch_actions Actions)
       -> void;
   auto arrangeWake(const slot_pointer &Slot) -> void;
@@ -75,12 +85,13 @@
   auto step(const slot_pointer &Slot, Event &&Apply) -> void;
 
   instance Self;
+  config_version Version = 0;
   transport::worker_pool &Pool;
   handlers Handlers;
   mutable std::mutex Mutex; // rank 55: taken before a slot's, for the map only
   std::map<group_id, slot_pointer> Slots;
   std::set<group_id> Owned;
-  std::set<target_id> Leaving;
+  std::vector<slot_pointer> Retired; ///< with work in flight
   target_link Link;
 };
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -15,6 +15,7 @@
 constexpr int ControlThreads = 2;
 constexpr milliseconds ForwardPatience{2000};
 constexpr milliseconds TickPeriod{1000};
+constexpr int TicksPerRotation = 60;
 constexpr milliseconds DefaultPoisonHold{600000};
 /// Of its deadline: an answer that took more counts as late.
 constexpr double LateShare = 0.6;
@@ -34,6 +35,13 @@
   return Answer;
 }
 
+/// Whether the request itself was wrong; that spends no error budget.
+auto isCallerFault(const result_code Code) -> bool {
+  constexpr int First = 100;
+  constexpr int Last = 199;
+  return static_cast<int>(Code) >= First && static_cast<int>(Code) <= Last;
+}
+
 /// Why no contract is known by the name the request gives.
 auto refuseUnknown(const query_request &Request, const bool Configured)
     -> query_answer {
@@ -102,7 +110,7 @@
             Peers->send(Owner, peer::cancel_message{C.Id, C.Group});
           }});
   Queries = std::make_unique<query_runner>(
-      Settings.Self.Id, Pool,
+      Settings.Self.Id, Settings.Self.Incarnation, Pool,
       query_runner::handlers{
           [this](subrequest Request) { Router->send(std::move(Request)); },
           [this](const query::cancel_subrequest &Cancel) {
@@ -135,8 +143,9 @@
           [this](const std::vector<instance> &List) {
             Members->adoptInstanceList(List);
           },
-          [this](const std::set<target_id> &Leaving) {
-            Dispatch->setLeaving(Leaving);
+          [this](const std::set<target_id> &Leaving,
+                 const std::set<target_id> &Live) {
+            Dispatch->setTargetStates(Leaving, Live);
             Queries->forgetTargets(Leaving);
           },
           [this](const std::string &Index, query::pinned_snapshot Snapshot) {
@@ -155,6 +164,8 @@
 
 auto entry::tick() -> void {
   Queries->expireVersions();
+  if (++Ticks % TicksPerRotation == 0)
+    Metrics.rotate();
   Pool.postAt(now() + TickPeriod, [this] { tick(); });
 }
 
@@ -168,6 +179,9 @@
 auto entry::query(query_request Request, const bool Forwarded,
                   std::function<void(query_answer)> Done) -> void {
   const time_point Started = now();
+  // Callers that keep the lifetime have gone by now.
+  if (pastLifetime())
+    return Done(refusal(Request, result_code::NotRunDraining, ""));
   if (Request.RequestId.empty())
     Request.RequestId =
         Settings.Self.Id + "-" + std::to_string(++RequestNumber);
@@ -180,7 +194,7 @@
   if (!Contract && !ByTicket)
     return Done(refuseUnknown(Request, Current != nullptr));
   const fingerprint Fingerprint = fingerprintOf(Request);
-  auto Recorded = [this, Started, Id = Request.Contract,
+  auto Recorded = [this, Started, Id = Contract ? Contract->Id : contract_id(),
                    Done = std::move(Done)](query_answer Answer) {
     record(Answer, Id, Started);
     Done(std::move(Answer));
@@ -215,19 +229,27 @@
                [this, Contract, Fingerprint, Started = now(),
                 Done = std::move(Done)](query_answer A) {
                  onQueryEnd(Contract, Fingerprint, A, Started);
+                 if (A.Code == result_code::NotRunOverload && held(Fingerprint))
+                   A.Code = result_code::NotRunPoisonHeld;
                  Done(std::move(A));
                });
 }
 
+auto entry::held(const fingerprint Fingerprint) -> bool {
+  const std::lock_guard Lock(PoisonMutex);
+  return Poison.verdict(Fingerprint, now()) == admission::poison_verdict::Held;
+}
+
 auto entry::mayStart(const contract_id &Contract) -> bool {
   const std::lock_guard Lock(GateMutex);
-  return Gate.admit(Contract, GateDraws());
+  return Gate.admit(Contract, GateDraws(), now());
 }
 
 auto entry::onQueryEnd(const contract &Contract, const fingerprint Fingerprint,
                        const query_answer &Answer, const time_point Started)
     -> void {
-  {
+  // Groups refuse what is held, too: that tells nothing of their load.
+  if (!held(Fingerprint)) {
     const std::lock_guard Lock(GateMutex);
     const bool Late = now() - Started > Contract.Deadline * LateShare;
     Gate.onFinished(Contract.Id,
@@ -245,7 +267,7 @@
   const auto Latency =
       std::chrono::duration_cast<microseconds>(now() - Started);
   const bool Complete = Answer.Code == result_code::Ok;
-  {
+  if (!isCallerFault(Answer.Code)) {
     const std::lock_guard Lock(BurnMutex);
     Burn.record(Contract, Latency, Complete, now());
   }
@@ -307,7 +329,11 @@
 auto entry::onMembers(const std::vector<instance> &) -> void { assignOwners(); }
 
 auto entry::onAdopted(const config::accepted_config &New) -> void {
-  Dispatch->reconfigure(*New.Deployment);
+  Dispatch->reconfigure(*New.Deployment, New.Version);
+  {
+    const std::lock_guard Lock(PoisonMutex);
+    Poison.setHold(New.Deployment->PoisonHold);
+  }
   {
     const std::lock_guard Lock(BurnMutex);
     Burn.setContracts(New.Deployment->Contracts);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -90,6 +90,8 @@
   auto assignOwners() -> void;
   auto runQuery(query_request Request, fingerprint Fingerprint,
                 std::function<void(query_answer)> Done) -> void;
+  auto held(fingerprint Fingerprint) -> bool;
+  auto pastLifetime() const -> bool;
   auto mayStart(const contract_id &Contract) -> bool;
   auto onQueryEnd(const contract &Contract, fingerprint Fingerprint,
                   const query_answer &Answer, time_point Started) -> void;
@@ -111,6 +113,7 @@
   std::mt19937_64 GateDraws;
   std::atomic<bool> Draining{false};
   std::atomic<time_point::rep> DrainingSince{0};
+  int Ticks = 0; ///< touched by one tick at a time
   std::atomic<std::uint64_t> AddressSpread{0};
   std::atomic<std::uint64_t> RequestNumber{0};
   transport::worker_pool Pool;
--- a/src/entry/entrypeers.cpp
+++ b/src/entry/entrypeers.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t MostReports = 256;
+
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
 auto toOffer(const config::accepted_config &Config) -> peer::config_offer {
@@ -68,6 +70,14 @@
   const auto Newest = Config->newest();
   if (Newest.Version > Message.Have)
     Peers->send(From, toOffer(Newest));
+  // Whoever asks is new or was away: it may not know what is held.
+  std::vector<admission::crash_report> Reports;
+  {
+    const std::lock_guard Lock(PoisonMutex);
+    Reports = Poison.reports(MostReports, now());
+  }
+  for (const admission::crash_report &Report : Reports)
+    Peers->send(From, peer::crash_message{Report});
 }
 
 auto entry::handle(const instance &, const peer::config_offer &Message)
--- a/src/entry/entrystop.cpp
+++ b/src/entry/entrystop.cpp
@@ -9,6 +9,9 @@
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
+/// On top of the drain limit, for the lifetime of addresses.
+constexpr milliseconds DrainSlack{10000};
+
 auto heardAgo(const time_point At) -> std::string {
   const auto Ago = std::chrono::duration_cast<milliseconds>(now() - At);
   return "heard " + std::to_string(Ago.count()) + "ms ago";
@@ -21,6 +24,7 @@
   Status.Instance = Settings.Self.Id;
   Status.Config = inForce().Version;
   Status.Draining = Draining;
+  Status.Refused = Config->refusal();
   Status.ReachesPlatform = Config->reachesPlatform();
   Status.ReachesPeers = Members->reachesPeers();
   const auto Told = Members->toldConfigs();
@@ -58,6 +62,14 @@
       .set(static_cast<double>(Dispatch->connectionsOpened()));
   Metrics.gauge("tarragon_peer_bytes_sent")
       .set(static_cast<double>(Peers->bytesSent()));
+  const auto Calls = Config->callCounts();
+  for (std::size_t Kind = 0; Kind < Calls.ByKind.size(); ++Kind) {
+    const report::metric_labels Labels{{"kind", std::to_string(Kind)}};
+    Metrics.gauge("tarragon_platform_calls", Labels)
+        .set(static_cast<double>(Calls.ByKind[Kind].Sent));
+    Metrics.gauge("tarragon_platform_calls_failed", Labels)
+        .set(static_cast<double>(Calls.ByKind[Kind].Failed));
+  }
   Metrics.gauge("tarragon_draining").set(Draining ? 1 : 0);
   return Metrics.exposition();
 }
@@ -70,18 +82,23 @@
   Members->leave();
 }
 
-auto entry::drained() -> bool {
+auto entry::pastLifetime() const -> bool {
   if (!Draining)
     return false;
   const time_point Since{time_point::duration{DrainingSince.load()}};
   const auto Current = inForce().Deployment;
   const milliseconds Lifetime =
       Current ? Current->AddressLifetime : deployment{}.AddressLifetime;
+  return now() - Since >= Lifetime;
+}
+
+auto entry::drained() -> bool {
   // Callers may come by answers given just before.
-  if (now() - Since < Lifetime)
+  if (!pastLifetime())
     return false;
   Once->seal();
-  if (now() - Since > Lifetime + Settings.DrainLimit)
+  const time_point Since{time_point::duration{DrainingSince.load()}};
+  if (now() - Since > Settings.DrainLimit + DrainSlack)
     return true;
   return Queries->running() == 0 && Dispatch->idle() && Once->settled();
 }
--- a/src/entry/httpapi.cpp
+++ b/src/entry/httpapi.cpp
@@ -11,13 +11,21 @@
 
 namespace tarragon::entry {
 
+namespace {
+
+/// Of any request, a file of an operator in JSON included. The server itself
+/// refuses more, without a result code.
+constexpr std::size_t MostRequestBytes = 16777216;
+
+} // namespace
+
 http_api::http_api(entry &Entry)
     : Entry(Entry), Callers(std::make_unique<caller_api>(Entry)),
       Operators(std::make_unique<admin_api>(Entry)),
       Server(std::make_unique<transport::http_server>(
           transport::http_server_settings{Entry.settings().Self.CallerAddress,
                                           Entry.settings().CallerThreads,
-                                          Entry.settings().MostBodyBytes})) {}
+                                          MostRequestBytes})) {}
 
 http_api::~http_api() = default;
 
@@ -36,6 +44,10 @@
     return Operators->handle(std::move(Request), std::move(Responder));
   if (Request.Path == "/metrics")
     return Responder.send(200, Entry.exposition(), "text/plain");
+  if (Request.Body.size() > Entry.settings().MostBodyBytes)
+    return refuse(Responder,
+                  fail(result_code::BodyTooLarge,
+                       std::to_string(Request.Body.size()) + " bytes"));
   Callers->handle(std::move(Request), std::move(Responder));
 }
 
--- a/src/entry/membershiprunner.cpp
+++ b/src/entry/membershiprunner.cpp
@@ -60,7 +60,7 @@
     told_config &Last = Told[Message.From.Id];
     // An instance that has its first configuration can own groups now.
     if (Last.Version == 0 && Message.Config > 0)
-      LastMembers.clear();
+      Stale = true;
     Last = {Message.Config, now()};
     Out = Table.onMessage(Message, now());
   }
@@ -128,8 +128,12 @@
   bool Changed = false;
   {
     const std::lock_guard Lock(Mutex);
+    if (Table.revision() == SeenRevision && !Stale)
+      return;
+    SeenRevision = Table.revision();
     Members = Table.members();
-    Changed = Members != LastMembers;
+    Changed = Stale || Members != LastMembers;
+    Stale = false;
     LastMembers = Members;
     Newest = Table.newestConfig();
     if (Newest && Newest->second <= Config)
--- a/src/entry/membershiprunner.h
+++ b/src/entry/membershiprunner.h
@@ -61,6 +61,8 @@
   mutable std::mutex Mutex; // rank 20
   membership::member_table Table;
   std::vector<instance> LastMembers;
+  std::uint64_t SeenRevision = 0;
+  bool Stale = true; ///< owners must be assigned again
   std::map<instance_id, told_config> Told;
   config_version Config = 0;
 };
--- a/src/entry/oncerunner.cpp
+++ b/src/entry/oncerunner.cpp
@@ -67,7 +67,7 @@
     const std::lock_guard Lock(Mutex);
     Verdict = Ledger.begin(*Ticket, Fingerprint, now());
     if (std::holds_alternative<once::await_answer>(Verdict)) {
-      Waiting[Ticket->Number].push_back(std::move(Done));
+      Waiting[Ticket->Number].push_back({Request.RequestId, std::move(Done)});
       return;
     }
   }
@@ -88,7 +88,7 @@
                          completion Done) -> void {
   {
     const std::lock_guard Lock(Mutex);
-    Waiting[Ticket.Number].push_back(std::move(Done));
+    Waiting[Ticket.Number].push_back({Request.RequestId, std::move(Done)});
   }
   Run(std::move(Request), [this, Ticket](query_answer Answer) {
     onRun(Ticket, std::move(Answer));
@@ -97,7 +97,7 @@
 
 auto once_runner::onRun(const once::ticket &Ticket, query_answer Answer)
     -> void {
-  std::vector<completion> Told;
+  std::vector<waiter> Told;
   {
     const std::lock_guard Lock(Mutex);
     Ledger.finish(Ticket, Answer, now());
@@ -107,8 +107,10 @@
       Waiting.erase(Found);
     }
   }
-  for (const completion &Done : Told)
-    Done(Answer);
+  for (const waiter &Waiter : Told) {
+    Answer.RequestId = Waiter.RequestId;
+    Waiter.Done(Answer);
+  }
 }
 
 auto once_runner::forward(const query_request &Request,
--- a/src/entry/oncerunner.h
+++ b/src/entry/oncerunner.h
@@ -40,6 +40,12 @@
   auto size() const -> std::size_t;
 
 private:
+  /// A sender of the same ticket; each is answered under its own request id.
+  struct waiter {
+    std::string RequestId;
+    completion Done;
+  };
+
   auto runNow(const once::ticket &Ticket, query_request Request,
               completion Done) -> void;
   auto onRun(const once::ticket &Ticket, query_answer Answer) -> void;
@@ -51,7 +57,7 @@
   find_function Find;
   mutable std::mutex Mutex; // rank 45
   once::ticket_ledger Ledger;
-  std::map<std::uint64_t, std::vector<completion>> Waiting;
+  std::map<std::uint64_t, std::vector<waiter>> Waiting; ///< by ticket
   transport::link_loop Loop;
 };
 
--- a/src/entry/queryrunner.cpp
+++ b/src/entry/queryrunner.cpp
@@ -6,13 +6,17 @@
 
 namespace {
 
+/// Incarnations are milliseconds of time apart at least.
+constexpr std::uint64_t NumbersPerIncarnation = 1000;
+
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
 } // namespace
 
-query_runner::query_runner(instance_id Self, transport::worker_pool &Pool,
-                           handlers Handlers)
-    : Self(std::move(Self)), Pool(Pool), Handlers(std::move(Handlers)) {}
+query_runner::query_runner(instance_id Self, const incarnation Life,
+                           transport::worker_pool &Pool, handlers Handlers)
+    : Self(std::move(Self)), Pool(Pool), Handlers(std::move(Handlers)),
+      LastNumber(Life * NumbersPerIncarnation) {}
 
 auto query_runner::run(query_request Request,
                        std::shared_ptr<const deployment> Deployment,
--- a/src/entry/queryrunner.h
+++ b/src/entry/queryrunner.h
@@ -28,7 +28,9 @@
     std::function<void(const query::cancel_subrequest &)> Cancel;
   };
 
-  query_runner(instance_id Self, transport::worker_pool &Pool,
+  /// Numbers start at a place of \p Life's own: a late settlement of an
+  /// earlier life must match no query of this one.
+  query_runner(instance_id Self, incarnation Life, transport::worker_pool &Pool,
                handlers Handlers);
 
   /// Starts a query; \p Done comes exactly once.
--- a/src/peer/internal/gossipcodec.cpp
+++ b/src/peer/internal/gossipcodec.cpp
@@ -68,10 +68,13 @@
   Value["from"] = writeInstance(Message.From);
   Value["about"] = Message.About;
   Value["config"] = Json::UInt64{Message.Config};
+  Value["digest"] = Json::UInt64{Message.Digest};
   Value["updates"] = Json::Value(Json::arrayValue);
   Value["refutation"] = Json::UInt64{Message.Refutation};
   for (const membership::member_update &Update : Message.Updates)
     Value["updates"].append(writeUpdate(Update));
+  for (const membership::member_update &Row : Message.Rows)
+    Value["rows"].append(writeUpdate(Row));
   return Value;
 }
 
@@ -83,6 +86,9 @@
   Message.About = Value["about"].asString();
   Message.Config = Value["config"].asUInt64();
   Message.Refutation = Value["refutation"].asUInt64();
+  Message.Digest = Value["digest"].asUInt64();
+  for (const Json::Value &Row : Value["rows"])
+    Message.Rows.push_back(readUpdate(Row));
   for (const Json::Value &Update : Value["updates"])
     Message.Updates.push_back(readUpdate(Update));
   return Message;
--- a/src/query/loadgate.cpp
+++ b/src/query/loadgate.cpp
@@ -12,14 +12,19 @@
 constexpr double CutFactor = 0.93;
 constexpr double LateWeight = 0.05;
 constexpr double MostLate = 0.3;
-constexpr double GainPerSecond = 0.08;
+constexpr double GainPerSecond = 0.05;
 /// An idle time says nothing of what could be served meanwhile.
 constexpr milliseconds LongestGrowth{500};
 
 } // namespace
 
-auto load_gate::admit(const contract_id &Contract, const std::uint64_t Draw)
-    -> bool {
+auto load_gate::admit(const contract_id &Contract, const std::uint64_t Draw,
+                      const time_point Now) -> bool {
+  // Grows with the arrivals, too, or a gate that lets few start would learn
+  // too seldom that more could.
+  const auto Found = States.find(Contract);
+  if (Found != States.end())
+    grow(Found->second, Now);
   const double Share = share(Contract);
   constexpr auto Most =
       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
@@ -53,8 +58,7 @@
 auto load_gate::grow(state &State, const time_point Now) -> void {
   const std::chrono::duration<double> Since =
       std::min<time_point::duration>(Now - State.GrownAt, LongestGrowth);
-  State.Share =
-      std::min(1.0, State.Share * (1 + GainPerSecond * Since.count()));
+  State.Share = std::min(1.0, State.Share + GainPerSecond * Since.count());
   State.GrownAt = Now;
 }
 
--- a/src/query/loadgate.h
+++ b/src/query/loadgate.h
@@ -27,7 +27,8 @@
 
   /// Whether a query of \p Contract may start; \p Draw is uniform over all
   /// 64-bit numbers.
-  auto admit(const contract_id &Contract, std::uint64_t Draw) -> bool;
+  auto admit(const contract_id &Contract, std::uint64_t Draw, time_point Now)
+      -> bool;
 
   /// A query that began at \p Started ended.
   auto onFinished(const contract_id &Contract, query_end End,
@@ -36,7 +37,7 @@
   /// The share of queries that may start, from LeastShare to 1.
   auto share(const contract_id &Contract) const -> double;
 
-  static constexpr double LeastShare = 0.02;
+  static constexpr double LeastShare = 0.05;
 
 private:
   struct state {
--- a/src/world/types/subrequest.h
+++ b/src/world/types/subrequest.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <string>
+#include <tuple>
 
 namespace tarragon {
 
@@ -15,7 +16,11 @@
   std::uint32_t Try = 0;  ///< grows when the root asks again
 
   auto operator==(const subrequest_id &) const -> bool = default;
-  auto operator<=>(const subrequest_id &) const = default;
+
+  auto operator<(const subrequest_id &Other) const -> bool {
+    return std::tie(Query, Part, Try) <
+           std::tie(Other.Query, Other.Part, Other.Try);
+  }
 };
 
 /// What the root of a query asks of the dispatcher of a replica group.
--- a/tests/once_tests.cpp
+++ b/tests/once_tests.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "global/json.h"
 #include "global/resultcode.h"
 #include "tests/fixture.h"
 
@@ -40,6 +41,45 @@
   BOOST_TEST(runsOf("order-3") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(senders_of_one_ticket_are_answered_under_their_own_ids) {
+  const std::string Ticket = ticketAt(0);
+  std::vector<std::string> Ids(4);
+  for (std::size_t Sender = 0; Sender < Ids.size(); ++Sender) {
+    const std::string Body =
+        R"({"contract":"order","key":"k","body":"order-8","request_id":"r)" +
+        std::to_string(Sender) + R"(","ticket":")" + Ticket + R"("})";
+    loop().start(
+        {"POST", cluster().entry(0).Caller, "/v1/query", {}, Body, 10s},
+        [&Ids, Sender](const bench::http_answer &Answer) {
+          const auto Parsed = parseJson(Answer.Body);
+          if (Parsed)
+            Ids[Sender] = Parsed.value()["request_id"].asString();
+        });
+  }
+  loop().runUntilIdle(std::chrono::steady_clock::now() + 20s);
+  for (std::size_t Sender = 0; Sender < Ids.size(); ++Sender)
+    BOOST_TEST(Ids[Sender] == "r" + std::to_string(Sender));
+  BOOST_TEST(runsOf("order-8") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_is_asked_also_by_one_that_knows_nothing) {
+  const std::string Ticket = ticketAt(0);
+  const auto First = order(0, Ticket, "order-9");
+  BOOST_REQUIRE(First["code"].asInt() == Ok);
+  cluster().controlPlatform("/control/faults", R"({"down":true})");
+  cluster().startEntry(3);
+  Json::Value Early;
+  BOOST_REQUIRE(waitUntil(
+      [&] {
+        Early = order(3, Ticket, "order-9");
+        return !Early.isNull();
+      },
+      ExitLimit));
+  const int Code = Early["code"].asInt();
+  BOOST_TEST((Code == Ok || Code == Unknown));
+  BOOST_TEST(runsOf("order-9") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_paused_holder_is_never_taken_over) {
   const std::string Ticket = ticketAt(0);
   cluster().signalEntry(0, SIGSTOP);
