Bench: goodput counts only answers within the load's time

Cause: answers after the load's end made goodput_ratio exceed 1. Change: only answers that come before the window ends count.

--- a/bench/experiments/overload.cpp
+++ b/bench/experiments/overload.cpp
@@ -1,6 +1,8 @@
 #include "bench/core/stats.h"
 #include "bench/experiments/experiments.h"
 
+#include <algorithm>
+
 namespace tarragon::bench {
 
 namespace {
@@ -8,12 +10,16 @@
 constexpr int Pairs = 3;
 constexpr double LoadFactor = 2;
 
-/// Complete answers a second over what the slots can do at best.
+/// Complete answers a second over what the slots can do at best. Answers that
+/// come after the load has ended don't count.
 auto goodputRatio(const std::vector<call_record> &Records,
                   const milliseconds Length, const double Capacity) -> double {
-  const double Complete =
-      completeShare(Records) * static_cast<double>(Records.size());
-  return Complete / std::chrono::duration<double>(Length).count() / Capacity;
+  const auto Good = std::count_if(
+      Records.begin(), Records.end(), [Length](const call_record &Record) {
+        return Record.Complete && Record.Call.At + Record.Latency <= Length;
+      });
+  return static_cast<double>(Good) /
+         std::chrono::duration<double>(Length).count() / Capacity;
 }
 
 /// Refusals by targets over all that reached them.
