Don't wait on a time that another thread may free

Cause: the pool's threads waited with a reference to the next job's time within the shared map; another thread could erase it meanwhile. Found by the first run of the unit suites under the address sanitizer.

--- a/src/transport/tests/transport_tests.cpp
+++ b/src/transport/tests/transport_tests.cpp
@@ -115,3 +115,16 @@
   Pool.post([&] { ++Count; });
   BOOST_TEST(Order.get_future().get() == 2);
 }
+
+BOOST_AUTO_TEST_CASE(threads_that_wait_for_a_job_outlive_its_taking) {
+  transport::worker_pool Pool(4);
+  std::promise<void> All;
+  std::atomic<int> Left{200};
+  for (int Count = 0; Count < 200; ++Count)
+    Pool.postAt(std::chrono::steady_clock::now() + 1ms * (Count / 4), [&] {
+      if (--Left == 0)
+        All.set_value();
+    });
+  All.get_future().wait();
+  BOOST_TEST(Left == 0);
+}
--- a/src/transport/workerpool.cpp
+++ b/src/transport/workerpool.cpp
@@ -66,10 +66,13 @@
     Ready.pop_front();
     return Job;
   }
-  if (Later.empty())
+  if (Later.empty()) {
     Changed.wait(Lock);
-  else
-    Changed.wait_until(Lock, Later.begin()->first);
+    return {};
+  }
+  // A copy: another thread may take the job while this one waits.
+  const time_point When = Later.begin()->first;
+  Changed.wait_until(Lock, When);
   return {};
 }
 
