--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo stats packages
+.PHONY: build test lint sanitize demo stats packages
 
 packages:
 	tools/install-packages
@@ -13,6 +13,12 @@
 lint: packages
 	tools/lint
 
+# Memory errors in every part that reads what others wrote; data races where
+# threads share tables.
+sanitize: packages
+	tools/sanitize asan global world transport peer entry query once platform report
+	tools/sanitize tsan transport peer report platform
+
 demo: build
 	tools/demo
 
