Read configurations apart from adopting them; fewer reads of the lists

Cause, by reading: every query's look at the configuration in force waited while a new file was parsed; a drain limit counted from the drain's begin could end before the lifetime of addresses; a draining instance refused requests whose ticket it had run; at 900 instances the list polls alone took 95% of the platform's reads. Change: readers get a copy under a lock of its own; the limit counts from the lifetime's end; tickets go to the ledger first; the lists' period grows by 5 ms an instance. One function for refused answers instead of two.

--- a/src/app/daemonsettings.cpp
+++ b/src/app/daemonsettings.cpp
@@ -30,7 +30,7 @@
     {"admin-token", "", "bearer tokens, [team=]token, separated by commas"},
     {"workers", "3", "worker threads"},
     {"caller-threads", "4", "threads that serve callers"},
-    {"most-body", "1MB", "largest request, with unit B, KB or MB"},
+    {"most-body", "1MB", "largest body of a caller, with unit B, KB or MB"},
     {"list-period", "1s", "time between reads of the instance list"},
     {"watch-wait", "10s", "longest wait of one watch"},
     {"ticket-lifetime", "60s", "how long a ticket may be used"},
--- a/src/entry/configrunner.cpp
+++ b/src/entry/configrunner.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds ReachedFor{5000};
 /// Between reads of a list that names no other instance yet.
 constexpr milliseconds LonePeriod{200};
+/// Keeps the reads of all instances together within the platform's rate,
+/// which grows more slowly than the fleet.
+constexpr milliseconds ListPeriodPerInstance{5};
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
@@ -74,35 +77,40 @@
   // Adoptions from the platform and from peers are carried out one after the
   // other, or the older one could come last.
   const std::lock_guard Order(AdoptMutex);
-  config::accepted_config Now;
-  {
-    const std::lock_guard Lock(Mutex);
-    if (!Adoption.adopt(std::move(Config)))
-      return;
-    Now = Adoption.inForce();
-  }
+  const bool New = Adoption.adopt(std::move(Config));
+  const config::accepted_config Now = Adoption.inForce();
+  publish();
+  if (!New)
+    return;
   log::write(
       log::level::Info, log::part::Config, "configuration in force",
       {{"version", std::to_string(Now.Version)}, {"operator", Now.Operator}});
   Handlers.OnAdopted(Now);
 }
 
+auto config_runner::publish() -> void {
+  const auto &Refused = Adoption.refused();
+  const std::lock_guard Lock(Mutex);
+  InForce = Adoption.inForce();
+  Newest = Adoption.newest();
+  Refusal = Refused ? "version " + std::to_string(Refused->Config.Version) +
+                          ": " + Refused->Fault.Detail
+                    : std::string();
+}
+
 auto config_runner::inForce() const -> config::accepted_config {
   const std::lock_guard Lock(Mutex);
-  return Adoption.inForce();
+  return InForce;
 }
 
 auto config_runner::newest() const -> config::accepted_config {
   const std::lock_guard Lock(Mutex);
-  return Adoption.newest();
+  return Newest;
 }
 
 auto config_runner::refusal() const -> std::string {
   const std::lock_guard Lock(Mutex);
-  const auto &Refused = Adoption.refused();
-  return Refused ? "version " + std::to_string(Refused->Config.Version) + ": " +
-                       Refused->Fault.Detail
-                 : std::string();
+  return Refusal;
 }
 
 auto config_runner::apply(const config::apply_request &Request)
@@ -175,17 +183,18 @@
 
 auto config_runner::pollLists() -> void {
   while (pause(milliseconds{0})) {
-    const bool Alone = !readLists();
+    const std::size_t Listed = readLists();
     readSnapshots();
-    pause(Alone ? std::min(LonePeriod, Settings.ListPeriod)
-                : Settings.ListPeriod);
+    const milliseconds Period =
+        Settings.ListPeriod + Listed * ListPeriodPerInstance;
+    pause(Listed > 1 ? Period : std::min(LonePeriod, Settings.ListPeriod));
   }
 }
 
-auto config_runner::readLists() -> bool {
+auto config_runner::readLists() -> std::size_t {
   const auto Roster = Platform.instanceRoster();
   if (!Roster)
-    return true;
+    return 0;
   markReached();
   Handlers.OnInstances(Roster.value().Instances);
   std::set<target_id> Leaving;
@@ -193,7 +202,7 @@
   for (const platform::target_state &Target : Roster.value().Targets)
     (Target.Leaving ? Leaving : Live).insert(Target.Id);
   Handlers.OnTargets(Leaving, Live);
-  return Roster.value().Instances.size() > 1;
+  return Roster.value().Instances.size();
 }
 
 auto config_runner::readSnapshots() -> void {
--- a/src/entry/configrunner.h
+++ b/src/entry/configrunner.h
@@ -53,10 +53,11 @@
   auto callCounts() const -> platform::call_counts;
 
 private:
+  auto publish() -> void;
   auto watchHead() -> void;
   auto pollLists() -> void;
-  /// False when the list names no other instance.
-  auto readLists() -> bool;
+  /// The number of instances listed; 0 when the list can't be read.
+  auto readLists() -> std::size_t;
   auto readSnapshots() -> void;
   auto load() -> bool;
   auto markReached() -> void;
@@ -66,11 +67,14 @@
   entry_settings Settings;
   handlers Handlers;
   platform::platform_client Platform;
-  std::mutex AdoptMutex;    // rank 5: held while an adoption is carried out
+  std::mutex AdoptMutex; // rank 5: held while an adoption is carried out
+  config::config_adoption Adoption;
   mutable std::mutex Mutex; // rank 10
   std::condition_variable Stopped;
   bool Stopping = false;
-  config::config_adoption Adoption;
+  config::accepted_config InForce; ///< what Adoption has, for readers
+  config::accepted_config Newest;
+  std::string Refusal;
   std::atomic<time_point::rep> LastReached{0};
   std::thread Watcher;
   std::thread Poller;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,6 +1,6 @@
 #include "entry/entry.h"
 
-#include "entry/answerjson.h"
+#include "entry/refusedanswer.h"
 #include "global/hash.h"
 #include "global/log.h"
 #include "membership/addressranking.h"
@@ -26,15 +26,6 @@
   return hash64(Request.Contract + '\0' + Request.Key + '\0' + Request.Body);
 }
 
-auto refusal(const query_request &Request, const result_code Code,
-             std::string Detail) -> query_answer {
-  query_answer Answer;
-  Answer.RequestId = Request.RequestId;
-  Answer.Code = Code;
-  Answer.Detail = std::move(Detail);
-  return Answer;
-}
-
 /// Whether the request itself was wrong; that spends no error budget.
 auto isCallerFault(const result_code Code) -> bool {
   constexpr int First = 100;
@@ -46,9 +37,9 @@
 auto refuseUnknown(const query_request &Request, const bool Configured)
     -> query_answer {
   if (!Configured)
-    return refusal(Request, result_code::NotRunNoConfiguration, "");
-  return refusal(Request, result_code::UnknownContract,
-                 "'" + Request.Contract + "'");
+    return refusedAnswer(Request, result_code::NotRunNoConfiguration, "");
+  return refusedAnswer(Request, result_code::UnknownContract,
+                       "'" + Request.Contract + "'");
 }
 
 /// Whether groups refused shards because they had more than they can do.
@@ -179,9 +170,10 @@
 auto entry::query(query_request Request, const bool Forwarded,
                   std::function<void(query_answer)> Done) -> void {
   const time_point Started = now();
-  // Callers that keep the lifetime have gone by now.
-  if (pastLifetime())
-    return Done(refusal(Request, result_code::NotRunDraining, ""));
+  // Callers that keep the lifetime have gone by now. A ticket goes on to the
+  // ledger, which knows what ran.
+  if (pastLifetime() && !Request.Ticket)
+    return Done(refusedAnswer(Request, result_code::NotRunDraining));
   if (Request.RequestId.empty())
     Request.RequestId =
         Settings.Self.Id + "-" + std::to_string(++RequestNumber);
@@ -214,10 +206,10 @@
     Verdict = Poison.verdict(Fingerprint, now());
   }
   if (Verdict == admission::poison_verdict::Held)
-    return Done(refusal(Request, result_code::NotRunPoisonHeld, ""));
+    return Done(refusedAnswer(Request, result_code::NotRunPoisonHeld));
   if (!mayStart(Request.Contract))
-    return Done(refusal(Request, result_code::NotRunOverload,
-                        "too much of this contract is under way"));
+    return Done(refusedAnswer(Request, result_code::NotRunOverload,
+                              "too much of this contract is under way"));
   const bool Suspect = Verdict == admission::poison_verdict::Suspect;
   const auto Current = inForce().Deployment;
   const contract *const Found =
@@ -301,11 +293,8 @@
   const bool Alone = All.size() <= 1;
   if (!Alone && !Members->reachesPeers() && !Config->reachesPlatform())
     return fail(result_code::NotRunIsolated, "");
-  const auto Current = inForce().Deployment;
-  const milliseconds Lifetime =
-      Current ? Current->AddressLifetime : deployment{}.AddressLifetime;
   return membership::rankAddresses(configured(All), CallerDomain,
-                                   ++AddressSpread, Lifetime);
+                                   ++AddressSpread, addressLifetime());
 }
 
 auto entry::postControl(transport::worker_pool::job Job) -> void {
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -91,6 +91,10 @@
   auto runQuery(query_request Request, fingerprint Fingerprint,
                 std::function<void(query_answer)> Done) -> void;
   auto held(fingerprint Fingerprint) -> bool;
+  auto addressLifetime() const -> milliseconds;
+  /// Since the drain began; 0 before.
+  auto drainingFor() const -> time_point::duration;
+  /// Whether callers that keep the lifetime have all gone.
   auto pastLifetime() const -> bool;
   auto mayStart(const contract_id &Contract) -> bool;
   auto onQueryEnd(const contract &Contract, fingerprint Fingerprint,
--- a/src/entry/entrystop.cpp
+++ b/src/entry/entrystop.cpp
@@ -9,8 +9,23 @@
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
-/// On top of the drain limit, for the lifetime of addresses.
-constexpr milliseconds DrainSlack{10000};
+auto kindName(const platform::call_kind Kind) -> const char * {
+  switch (Kind) {
+  case platform::call_kind::Get:
+    return "get";
+  case platform::call_kind::Put:
+    return "put";
+  case platform::call_kind::Remove:
+    return "remove";
+  case platform::call_kind::List:
+    return "list";
+  case platform::call_kind::Watch:
+    return "watch";
+  case platform::call_kind::Instances:
+    return "instances";
+  }
+  return "unknown";
+}
 
 auto heardAgo(const time_point At) -> std::string {
   const auto Ago = std::chrono::duration_cast<milliseconds>(now() - At);
@@ -64,7 +79,8 @@
       .set(static_cast<double>(Peers->bytesSent()));
   const auto Calls = Config->callCounts();
   for (std::size_t Kind = 0; Kind < Calls.ByKind.size(); ++Kind) {
-    const report::metric_labels Labels{{"kind", std::to_string(Kind)}};
+    const report::metric_labels Labels{
+        {"kind", kindName(static_cast<platform::call_kind>(Kind))}};
     Metrics.gauge("tarragon_platform_calls", Labels)
         .set(static_cast<double>(Calls.ByKind[Kind].Sent));
     Metrics.gauge("tarragon_platform_calls_failed", Labels)
@@ -82,14 +98,18 @@
   Members->leave();
 }
 
-auto entry::pastLifetime() const -> bool {
-  if (!Draining)
-    return false;
-  const time_point Since{time_point::duration{DrainingSince.load()}};
+auto entry::addressLifetime() const -> milliseconds {
   const auto Current = inForce().Deployment;
-  const milliseconds Lifetime =
-      Current ? Current->AddressLifetime : deployment{}.AddressLifetime;
-  return now() - Since >= Lifetime;
+  return Current ? Current->AddressLifetime : deployment{}.AddressLifetime;
+}
+
+auto entry::drainingFor() const -> time_point::duration {
+  const time_point Since{time_point::duration{DrainingSince.load()}};
+  return Draining ? now() - Since : time_point::duration{0};
+}
+
+auto entry::pastLifetime() const -> bool {
+  return Draining && drainingFor() >= addressLifetime();
 }
 
 auto entry::drained() -> bool {
@@ -97,8 +117,7 @@
   if (!pastLifetime())
     return false;
   Once->seal();
-  const time_point Since{time_point::duration{DrainingSince.load()}};
-  if (now() - Since > Settings.DrainLimit + DrainSlack)
+  if (drainingFor() > addressLifetime() + Settings.DrainLimit)
     return true;
   return Queries->running() == 0 && Dispatch->idle() && Once->settled();
 }
--- a/src/entry/oncerunner.cpp
+++ b/src/entry/oncerunner.cpp
@@ -1,5 +1,6 @@
 #include "entry/oncerunner.h"
 
+#include "entry/refusedanswer.h"
 #include "entry/requestjson.h"
 #include "global/json.h"
 
@@ -11,21 +12,12 @@
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
-auto refusal(const query_request &Request, const result_code Code,
-             std::string Detail) -> query_answer {
-  query_answer Answer;
-  Answer.RequestId = Request.RequestId;
-  Answer.Code = Code;
-  Answer.Detail = std::move(Detail);
-  return Answer;
-}
-
 /// The answer another instance gave, or that its outcome is unknown.
 auto readForwarded(const query_request &Request,
                    const transport::http_reply &Reply) -> query_answer {
   const auto Unknown = [&Request] {
-    return refusal(Request, result_code::OutcomeUnknown,
-                   "the instance that holds the ticket did not answer");
+    return refusedAnswer(Request, result_code::OutcomeUnknown,
+                         "the instance that holds the ticket did not answer");
   };
   if (Reply.End != transport::call_end::Replied)
     return Unknown();
@@ -58,10 +50,10 @@
                          const bool Forwarded, const milliseconds Patience,
                          completion Done) -> void {
   if (!Request.Ticket)
-    return Done(refusal(Request, result_code::TicketRequired, ""));
+    return Done(refusedAnswer(Request, result_code::TicketRequired));
   const auto Ticket = once::parseTicket(*Request.Ticket);
   if (!Ticket)
-    return Done(refusal(Request, result_code::MalformedTicket, ""));
+    return Done(refusedAnswer(Request, result_code::MalformedTicket));
   once::ledger_verdict Verdict;
   {
     const std::lock_guard Lock(Mutex);
@@ -79,8 +71,8 @@
   }
   const auto To = std::get<once::forward_to>(Verdict);
   if (Forwarded)
-    return Done(refusal(Request, result_code::OutcomeUnknown,
-                        "the ticket belongs to another instance"));
+    return Done(refusedAnswer(Request, result_code::OutcomeUnknown,
+                              "the ticket belongs to another instance"));
   forward(Request, To, Patience, std::move(Done));
 }
 
@@ -120,8 +112,8 @@
   const auto Holder = Find(To.Instance);
   const bool SameLife = Holder && Holder->Incarnation == To.Incarnation;
   if (!SameLife)
-    return Done(refusal(Request, result_code::OutcomeUnknown,
-                        "the instance that held the ticket is gone"));
+    return Done(refusedAnswer(Request, result_code::OutcomeUnknown,
+                              "the instance that held the ticket is gone"));
   transport::http_call Call;
   Call.To = Holder->CallerAddress;
   Call.Path = "/v1/query?forwarded=1";
