--- a/src/app/tarragond.cpp
+++ b/src/app/tarragond.cpp
@@ -5,6 +5,7 @@
 #include "global/log.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
 #include <iostream>
 
@@ -67,6 +68,9 @@
              {{"instance", Settings.Entry.Self.Id},
               {"address", Settings.Entry.Self.CallerAddress}});
   const int Code = serveUntilDrained(Entry, Signals);
+  // Requests still under way hold on to the server that is about to go.
+  if (Code == Forced || !Entry.idle())
+    std::_Exit(Code);
   Api.stop();
   Entry.stop();
   log::write(log::level::Info, log::part::Entry, "stopped",
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -54,6 +54,9 @@
   auto draining() const -> bool { return Draining; }
   auto drained() -> bool;
 
+  /// Whether nothing is queued or in flight.
+  auto idle() const -> bool;
+
   /// Hands the final ledger to every live peer.
   auto handOver() -> void;
   auto stop() -> void;
--- a/src/entry/entrystop.cpp
+++ b/src/entry/entrystop.cpp
@@ -119,7 +119,11 @@
   Once->seal();
   if (drainingFor() > addressLifetime() + Settings.DrainLimit)
     return true;
-  return Queries->running() == 0 && Dispatch->idle() && Once->settled();
+  return idle() && Once->settled();
+}
+
+auto entry::idle() const -> bool {
+  return Queries->running() == 0 && Dispatch->idle();
 }
 
 auto entry::handOver() -> void {
--- a/src/query/loadgate.cpp
+++ b/src/query/loadgate.cpp
@@ -12,7 +12,7 @@
 constexpr double CutFactor = 0.93;
 constexpr double LateWeight = 0.05;
 constexpr double MostLate = 0.3;
-constexpr double GainPerSecond = 0.05;
+constexpr double GainPerSecond = 0.02;
 /// An idle time says nothing of what could be served meanwhile.
 constexpr milliseconds LongestGrowth{500};
 
--- a/tests/entry_tests.cpp
+++ b/tests/entry_tests.cpp
@@ -65,6 +65,19 @@
   BOOST_TEST(waitUntil([&] { return Listed() == 3U; }, HealLimit));
 }
 
+BOOST_AUTO_TEST_CASE(a_second_signal_stops_at_once) {
+  cluster().signalEntry(0, SIGTERM);
+  BOOST_REQUIRE(waitUntil(
+      [this] {
+        return cluster().admin(0, "/admin/v1/status")["draining"].asBool();
+      },
+      ExitLimit));
+  cluster().signalEntry(0, SIGTERM);
+  BOOST_REQUIRE(waitUntil([this] { return cluster().entryExit(0).has_value(); },
+                          ExitLimit));
+  BOOST_TEST(*cluster().entryExit(0) == 3);
+}
+
 BOOST_AUTO_TEST_CASE(bad_input_is_a_numbered_error) {
   const auto CodeOf = [this](const std::string &Body) {
     return call(0, "POST", "/v1/query", Body)["code"].asInt();
