--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 # Memory errors in every part that reads what others wrote; data races where
 # threads share tables.
 sanitize: packages
-	tools/sanitize asan global world transport peer entry query once platform report
-	tools/sanitize tsan transport peer report platform
+	tools/sanitize asan global world transport peer entry query once store report
+	tools/sanitize tsan transport peer report store
 
 demo: build
 	tools/demo
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -13,7 +13,7 @@
     add_library(${LIBRARY} INTERFACE)
     target_link_libraries(${LIBRARY} INTERFACE ${ARGN})
   endif()
-  if(TEST_SOURCES)
+  if(TEST_SOURCES AND NOT TARRAGON_ENTRY_ONLY)
     add_executable(${NAME}_tests ${TEST_SOURCES})
     target_compile_definitions(${NAME}_tests PRIVATE
       TARRAGON_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
--- a/src/config/configacceptance.h
+++ b/src/config/configacceptance.h
@@ -10,8 +10,8 @@
 #include "config/types/applyoutcome.h"
 #include "config/types/applyrequest.h"
 #include "global/hash.h"
-#include "platform/backoff.h"
-#include "platform/iobjectstore.h"
+#include "global/backoff.h"
+#include "store/iobjectstore.h"
 
 #include <cstddef>
 #include <functional>
@@ -26,7 +26,7 @@
 /// writes on top of the version a change rests on wins; a lost reply is
 /// resolved by reading the change id back. Has no state of its own, so that
 /// any instance may finish what another began. Not thread-safe; cheap to make.
-template <platform::object_store Store> class config_acceptance {
+template <store::object_store Store> class config_acceptance {
 public:
   /// Waits between tries; does nothing in tests.
   using pause = std::function<void(milliseconds)>;
@@ -62,7 +62,7 @@
   /// The head and the object version that a write must name to replace it.
   struct seen_head {
     config_head Head;
-    platform::object_version Version = 0;
+    store::object_version Version = 0;
   };
 
   auto readHeadObject(Store &Platform) -> result<seen_head>;
@@ -89,12 +89,12 @@
 
   acceptance_settings Settings;
   pause Pause;
-  platform::backoff Backoff;
+  backoff Backoff;
   bool MayLand = false; ///< a head write was sent whose effect is unknown
   failure Last{result_code::PlatformUnavailable, {}};
 };
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::readHeadObject(Store &Platform)
     -> result<seen_head> {
   auto Object = Platform.get(HeadKey);
@@ -108,7 +108,7 @@
   return seen_head{std::move(*Head), Object.value().Version};
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::readContent(Store &Platform,
                                            const config_head &Head)
     -> result<std::string> {
@@ -126,7 +126,7 @@
   return Text;
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::writeChunk(Store &Platform,
                                           const std::string &Key,
                                           const std::string &Value)
@@ -148,7 +148,7 @@
   return succeed();
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::writeContent(Store &Platform,
                                             const config_head &Next,
                                             const std::string &Text)
@@ -163,7 +163,7 @@
   return succeed();
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::deploymentOf(Store &Platform,
                                             const config_head &Head,
                                             const accepted_config &InForce)
@@ -184,7 +184,7 @@
   return std::make_shared<const deployment>(std::move(File.Deployment));
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::addDifferences(Store &Platform,
                                               const config_head &Head,
                                               const accepted_config &InForce,
@@ -199,7 +199,7 @@
   return Outcome;
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::check(Store &Platform, const config_head &Head,
                                      const apply_request &Request,
                                      const accepted_config &InForce,
@@ -215,7 +215,7 @@
   return checkTeam(*Old.value(), Wanted, Request, Head.InForce.Version);
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::writeBoth(Store &Platform, const seen_head &Seen,
                                          const apply_request &Request)
     -> std::optional<apply_outcome> {
@@ -242,7 +242,7 @@
   return std::nullopt;
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::tryOnce(Store &Platform,
                                        const apply_request &Request,
                                        const accepted_config &InForce,
@@ -263,7 +263,7 @@
   return writeBoth(Platform, Seen.value(), Request);
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::apply(Store &Platform,
                                      const apply_request &Request,
                                      const accepted_config &InForce)
@@ -285,7 +285,7 @@
   return exhausted(Last, MayLand, InForce.Version);
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::load(Store &Platform)
     -> result<accepted_config> {
   failure Why{result_code::Internal, {}};
@@ -308,7 +308,7 @@
   return fail(result_code::Internal, "The content is missing: " + Why.Detail);
 }
 
-template <platform::object_store Store>
+template <store::object_store Store>
 auto config_acceptance<Store>::collect(Store &Platform,
                                        const config_version Kept)
     -> result<std::size_t> {
@@ -319,7 +319,7 @@
   if (!Objects)
     return Objects.error();
   std::size_t Removed = 0;
-  for (const platform::stored_object &Object : Objects.value()) {
+  for (const store::stored_object &Object : Objects.value()) {
     if (!isObsolete(Object.Key, Seen.value().Head, Kept))
       continue;
     const auto Done = Platform.remove(Object.Key, Object.Version);
--- a/src/config/tests/acceptance_tests.cpp
+++ b/src/config/tests/acceptance_tests.cpp
@@ -2,14 +2,14 @@
 
 #include "config/configacceptance.h"
 #include "config/tests/filetext.h"
-#include "platform/fakestore.h"
+#include "store/fakestore.h"
 
 #include <deque>
 
 using namespace tarragon;
 using namespace tarragon::config;
-using platform::fake_store;
-using platform::store_fault;
+using store::fake_store;
+using store::store_fault;
 
 namespace {
 
@@ -33,9 +33,9 @@
 
 /// Injects the faults into the writes of the head, in order.
 auto headFaults(std::deque<store_fault> Faults) -> fake_store::fault_script {
-  return [Faults](const platform::call_kind Kind,
+  return [Faults](const store::call_kind Kind,
                   const std::string &Key) mutable {
-    if (Kind != platform::call_kind::Put || Key != HeadKey || Faults.empty())
+    if (Kind != store::call_kind::Put || Key != HeadKey || Faults.empty())
       return store_fault::None;
     const store_fault Next = Faults.front();
     Faults.pop_front();
@@ -43,7 +43,7 @@
   };
 }
 
-auto down(platform::call_kind, const std::string &) -> store_fault {
+auto down(store::call_kind, const std::string &) -> store_fault {
   return store_fault::Unavailable;
 }
 
@@ -154,10 +154,10 @@
 BOOST_AUTO_TEST_CASE(outage_after_the_write_leaves_the_outcome_unknown) {
   bool Sent = false;
   fake_store Store(
-      [&Sent](const platform::call_kind Kind, const std::string &Key) {
+      [&Sent](const store::call_kind Kind, const std::string &Key) {
         if (Sent)
           return store_fault::Unavailable;
-        Sent = Kind == platform::call_kind::Put && Key == HeadKey;
+        Sent = Kind == store::call_kind::Put && Key == HeadKey;
         return Sent ? store_fault::LateWrite : store_fault::None;
       });
   const auto Outcome = makeAcceptance().apply(Store, request(9, "c", 0), {});
@@ -175,8 +175,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(content_that_stays_unwritten_leaves_nothing_unknown) {
-  fake_store Store([](const platform::call_kind Kind, const std::string &) {
-    return platform::isWrite(Kind) ? store_fault::LostWrite : store_fault::None;
+  fake_store Store([](const store::call_kind Kind, const std::string &) {
+    return store::isWrite(Kind) ? store_fault::LostWrite : store_fault::None;
   });
   expect(makeAcceptance().apply(Store, request(9, "c", 0), {}),
          apply_state::NotAccepted, result_code::PlatformUnavailable);
--- a/src/config/tests/race_tests.cpp
+++ b/src/config/tests/race_tests.cpp
@@ -3,7 +3,7 @@
 #include "config/configacceptance.h"
 #include "config/tests/filetext.h"
 #include "config/tests/turntable.h"
-#include "platform/fakestore.h"
+#include "store/fakestore.h"
 
 #include <algorithm>
 #include <array>
@@ -12,9 +12,9 @@
 
 using namespace tarragon;
 using namespace tarragon::config;
-using platform::call_kind;
-using platform::fake_store;
-using platform::store_fault;
+using store::call_kind;
+using store::fake_store;
+using store::store_fault;
 
 namespace {
 
@@ -73,7 +73,7 @@
       Store.landOne();
     if (draw(12) == 0)
       return store_fault::Unavailable;
-    if (!platform::isWrite(Kind) || draw(2) == 0)
+    if (!store::isWrite(Kind) || draw(2) == 0)
       return store_fault::None;
     constexpr std::array Faults{store_fault::LostReply, store_fault::LostWrite,
                                 store_fault::LateWrite,
--- a/src/ctl/internal/curlchannel.cpp
+++ b/src/ctl/internal/curlchannel.cpp
@@ -1,7 +1,7 @@
 #include "ctl/curlchannel.h"
 
 #include "ctl/internal/replytext.h"
-#include "platform/httpexchange.h"
+#include "store/httpexchange.h"
 
 #include <algorithm>
 #include <thread>
@@ -29,7 +29,7 @@
 
 auto curl_channel::send(const entry_call &Call, const milliseconds Timeout)
     -> entry_reply {
-  platform::exchange_request Request;
+  store::exchange_request Request;
   Request.Method = Call.Method;
   Request.Url = "http://" + Call.Entry + Call.Path;
   Request.Body = Call.Body;
@@ -39,13 +39,13 @@
   if (!Call.Token.empty())
     Request.Authorization = "Bearer " + Call.Token;
   curl_easy_reset(Handle->Curl);
-  const auto Reply = platform::runExchange(Handle->Curl, Request);
+  const auto Reply = store::runExchange(Handle->Curl, Request);
   switch (Reply.State) {
-  case platform::exchange_state::NotSent:
+  case store::exchange_state::NotSent:
     return {reply_state::NotSent, {}, {}, {}, Reply.Error};
-  case platform::exchange_state::NoReply:
+  case store::exchange_state::NoReply:
     return {reply_state::NoReply, {}, {}, {}, Reply.Error};
-  case platform::exchange_state::Replied:
+  case store::exchange_state::Replied:
     return readReply(Reply.Status, Reply.Body);
   }
   return {};
--- a/src/entry/configrunner.cpp
+++ b/src/entry/configrunner.cpp
@@ -4,7 +4,7 @@
 #include "global/hash.h"
 #include "global/json.h"
 #include "global/log.h"
-#include "platform/backoff.h"
+#include "global/backoff.h"
 
 #include <json/json.h>
 
@@ -117,7 +117,7 @@
     -> config::apply_outcome {
   config::acceptance_settings Acceptance;
   Acceptance.Seed = hash64(Request.ChangeId, seedOf(Settings));
-  config::config_acceptance<platform::platform_client> Change(
+  config::config_acceptance<store::platform_client> Change(
       Acceptance, [this](const milliseconds Wait) { pause(Wait); });
   const auto Outcome = Change.apply(Platform, Request, inForce());
   if (Outcome.State == config::apply_state::Accepted) {
@@ -136,12 +136,12 @@
   return LastReached.load() != 0 && now() - Reached < ReachedFor;
 }
 
-auto config_runner::callCounts() const -> platform::call_counts {
+auto config_runner::callCounts() const -> store::call_counts {
   return Platform.callCounts();
 }
 
 auto config_runner::watchHead() -> void {
-  platform::backoff Backoff(FirstRetry, LongestRetry, seedOf(Settings));
+  backoff Backoff(FirstRetry, LongestRetry, seedOf(Settings));
   std::uint64_t Revision = 0;
   bool Stale = true;
   while (pause(milliseconds{0})) {
@@ -164,7 +164,7 @@
 }
 
 auto config_runner::load() -> bool {
-  config::config_acceptance<platform::platform_client> Reader(
+  config::config_acceptance<store::platform_client> Reader(
       {}, [this](const milliseconds Wait) { pause(Wait); });
   auto Loaded = Reader.load(Platform);
   if (Loaded) {
@@ -199,7 +199,7 @@
   Handlers.OnInstances(Roster.value().Instances);
   std::set<target_id> Leaving;
   std::set<target_id> Live;
-  for (const platform::target_state &Target : Roster.value().Targets)
+  for (const store::target_state &Target : Roster.value().Targets)
     (Target.Leaving ? Leaving : Live).insert(Target.Id);
   Handlers.OnTargets(Leaving, Live);
   return Roster.value().Instances.size();
@@ -210,7 +210,7 @@
   if (!Objects)
     return;
   markReached();
-  for (const platform::stored_object &Object : Objects.value())
+  for (const store::stored_object &Object : Objects.value())
     if (auto Snapshot = readSnapshot(Object.Value))
       Handlers.OnSnapshot(Object.Key.substr(sizeof SnapshotPrefix - 1),
                           std::move(*Snapshot));
--- a/src/entry/configrunner.h
+++ b/src/entry/configrunner.h
@@ -4,7 +4,7 @@
 #include "config/types/applyoutcome.h"
 #include "config/types/applyrequest.h"
 #include "entry/types/entrysettings.h"
-#include "platform/platformclient.h"
+#include "store/platformclient.h"
 #include "query/types/pinnedsnapshot.h"
 
 #include <atomic>
@@ -50,7 +50,7 @@
 
   /// Whether the platform answered lately.
   auto reachesPlatform() const -> bool;
-  auto callCounts() const -> platform::call_counts;
+  auto callCounts() const -> store::call_counts;
 
 private:
   auto publish() -> void;
@@ -66,7 +66,7 @@
 
   entry_settings Settings;
   handlers Handlers;
-  platform::platform_client Platform;
+  store::platform_client Platform;
   std::mutex AdoptMutex; // rank 5: held while an adoption is carried out
   config::config_adoption Adoption;
   mutable std::mutex Mutex; // rank 10
--- a/src/entry/entrystop.cpp
+++ b/src/entry/entrystop.cpp
@@ -9,19 +9,19 @@
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
-auto kindName(const platform::call_kind Kind) -> const char * {
+auto kindName(const store::call_kind Kind) -> const char * {
   switch (Kind) {
-  case platform::call_kind::Get:
+  case store::call_kind::Get:
     return "get";
-  case platform::call_kind::Put:
+  case store::call_kind::Put:
     return "put";
-  case platform::call_kind::Remove:
+  case store::call_kind::Remove:
     return "remove";
-  case platform::call_kind::List:
+  case store::call_kind::List:
     return "list";
-  case platform::call_kind::Watch:
+  case store::call_kind::Watch:
     return "watch";
-  case platform::call_kind::Instances:
+  case store::call_kind::Instances:
     return "instances";
   }
   return "unknown";
@@ -80,7 +80,7 @@
   const auto Calls = Config->callCounts();
   for (std::size_t Kind = 0; Kind < Calls.ByKind.size(); ++Kind) {
     const report::metric_labels Labels{
-        {"kind", kindName(static_cast<platform::call_kind>(Kind))}};
+        {"kind", kindName(static_cast<store::call_kind>(Kind))}};
     Metrics.gauge("tarragon_platform_calls", Labels)
         .set(static_cast<double>(Calls.ByKind[Kind].Sent));
     Metrics.gauge("tarragon_platform_calls_failed", Labels)
--- /dev/null
+++ b/src/fleet/fleetcodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "fleet/types/fleetdigest.h"
+#include "membership/types/gossipmessage.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tarragon::fleet {
+
+/// One datagram between instances.
+struct fleet_datagram {
+  membership::gossip_message Gossip;
+  fleet_digest Digest;
+};
+
+auto writeDatagram(const fleet_datagram &Datagram) -> std::string;
+
+/// Nothing when \p Text is no datagram of an instance.
+auto readDatagram(std::string_view Text) -> std::optional<fleet_datagram>;
+
+} // namespace tarragon::fleet
--- /dev/null
+++ b/src/fleet/fleetlink.cpp
@@ -0,0 +1,308 @@
+#include "fleet/fleetlink.h"
+
+#include "gateway/callersession.h"
+#include "gateway/httpconnection.h"
+#include "global/hash.h"
+#include "global/log.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace tarragon::fleet {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds GreetPeriod{400};
+constexpr milliseconds FetchTimeout{1000};
+constexpr std::string_view DocumentPath = "/documents/";
+constexpr std::string_view AsOfHeader = "As-Of";
+constexpr std::string_view ChangedHeader = "Changed";
+constexpr std::size_t MostToldAtOnce = 16;
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+auto tableSettings() -> membership::membership_settings {
+  membership::membership_settings Table;
+  Table.ProbePeriod = milliseconds(250);
+  Table.ProbeTimeout = milliseconds(200);
+  Table.SuspicionTime = milliseconds(800);
+  Table.UpdatesPerMessage = 8;
+  return Table;
+}
+
+struct host_port {
+  std::string Host;
+  std::uint16_t Port = 0;
+};
+
+auto splitAddress(const std::string &Address) -> host_port {
+  const auto Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return {Address, 0};
+  host_port Split{Address.substr(0, Colon), 0};
+  std::from_chars(Address.data() + Colon + 1, Address.data() + Address.size(),
+                  Split.Port);
+  return Split;
+}
+
+template <class Protocol>
+auto endpointOf(const host_port &Split) -> typename Protocol::endpoint {
+  boost::system::error_code Error;
+  return {asio::ip::make_address(Split.Host, Error), Split.Port};
+}
+
+auto revisionIn(const gateway::exchange_answer &Answer,
+                const std::string_view Name) -> std::uint64_t {
+  std::uint64_t Revision = 0;
+  if (const std::string *Text = Answer.find(Name))
+    std::from_chars(Text->data(), Text->data() + Text->size(), Revision);
+  return Revision;
+}
+
+} // namespace
+
+fleet_link::fleet_link(asio::io_context &NewLoop, fleet_settings NewSettings,
+                       handlers NewHandlers)
+    : Loop(NewLoop), Settings(std::move(NewSettings)),
+      Handlers(std::move(NewHandlers)),
+      Table(Settings.Self, tableSettings(), hash64(Settings.Self.Id), now()),
+      Duty(Settings.Self.Id), Socket(NewLoop), WakeTimer(NewLoop),
+      GreetTimer(NewLoop), SourceHeardAt(now() - std::chrono::hours(1)) {}
+
+fleet_link::~fleet_link() {
+  for (auto &[Name, Connection] : Fetches)
+    Connection->close();
+}
+
+auto fleet_link::start() -> bool {
+  boost::system::error_code Error;
+  Socket.open(asio::ip::udp::v4(), Error);
+  if (!Error)
+    Socket.bind(
+        endpointOf<asio::ip::udp>(splitAddress(Settings.Self.PeerAddress)),
+        Error);
+  if (!Error)
+    Socket.non_blocking(true, Error);
+  if (Error)
+    return false;
+  receive();
+  arrangeWake();
+  greetSeeds();
+  return true;
+}
+
+auto fleet_link::receive() -> void {
+  Socket.async_receive_from(
+      asio::buffer(Buffer), Sender,
+      [this](const boost::system::error_code &Error, const std::size_t Count) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (!Error)
+          onDatagram({Buffer.data(), Count});
+        receive();
+      });
+}
+
+auto fleet_link::onDatagram(const std::string_view Text) -> void {
+  const auto Datagram = readDatagram(Text);
+  if (!Datagram || Datagram->Gossip.From.Id == Settings.Self.Id)
+    return;
+  const instance &From = Datagram->Gossip.From;
+  Digests[From.Id] = Datagram->Digest;
+  send(Table.onMessage(Datagram->Gossip, now()));
+  membersChanged();
+  compareDocuments(From, Datagram->Digest);
+}
+
+auto fleet_link::membersChanged() -> void {
+  if (Table.revision() == KnownRevision)
+    return;
+  KnownRevision = Table.revision();
+  const auto Members = Table.members();
+  const auto Live =
+      std::count_if(Members.begin(), Members.end(), [](const instance &Member) {
+        return Member.State == instance_state::Live;
+      });
+  InstancesSeen = std::max(InstancesSeen, static_cast<int>(Live));
+  std::erase_if(Digests, [&](const auto &Entry) {
+    return std::none_of(
+        Members.begin(), Members.end(),
+        [&](const instance &Member) { return Member.Id == Entry.first; });
+  });
+  log::write(log::level::Info, log::part::Membership, "members changed",
+             {{"live", std::to_string(Live)}});
+  Handlers.OnMembers();
+}
+
+auto fleet_link::arrangeWake() -> void {
+  WakeTimer.expires_at(Table.nextWake());
+  WakeTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    send(Table.onTimer(now()));
+    membersChanged();
+    arrangeWake();
+  });
+}
+
+auto fleet_link::greetSeeds() -> void {
+  if (Table.members().size() < 2) {
+    membership::gossip_message Greeting;
+    Greeting.From = Settings.Self;
+    const auto Port = splitAddress(Settings.Self.PeerAddress).Port;
+    for (const std::string &Ip : Settings.SeedIps)
+      if (Ip != splitAddress(Settings.Self.PeerAddress).Host)
+        sendTo(endpointOf<asio::ip::udp>({Ip, Port}), Greeting);
+  }
+  GreetTimer.expires_after(GreetPeriod);
+  GreetTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      greetSeeds();
+  });
+}
+
+auto fleet_link::send(const std::vector<membership::outgoing_gossip> &Messages)
+    -> void {
+  for (const membership::outgoing_gossip &Message : Messages)
+    sendTo(endpointOf<asio::ip::udp>(splitAddress(Message.To.PeerAddress)),
+           Message.Message);
+}
+
+auto fleet_link::sendTo(const endpoint &To,
+                        const membership::gossip_message &Message) -> void {
+  const std::string Text = writeDatagram({Message, ownDigest()});
+  boost::system::error_code Ignored; // a lost datagram is no failure
+  Socket.send_to(asio::buffer(Text), To, 0, Ignored);
+}
+
+auto fleet_link::ownDigest() const -> fleet_digest {
+  return {Marks,
+          std::chrono::duration_cast<milliseconds>(now() - SourceHeardAt),
+          Ready};
+}
+
+auto fleet_link::setMark(const std::string &Name, const document_mark Mark)
+    -> void {
+  const bool IsNews = Mark.isNewsFor(Marks[Name]);
+  Marks[Name] = Mark;
+  if (IsNews)
+    tellNews();
+}
+
+auto fleet_link::mark(const std::string &Name) const -> document_mark {
+  const auto Known = Marks.find(Name);
+  return Known == Marks.end() ? document_mark{} : Known->second;
+}
+
+auto fleet_link::tellNews() -> void {
+  membership::gossip_message News;
+  News.From = Settings.Self;
+  std::size_t Told = 0;
+  for (const instance &Member : Table.members()) {
+    if (Member.Id == Settings.Self.Id || Member.State == instance_state::Dead)
+      continue;
+    if (++Told > MostToldAtOnce)
+      return;
+    sendTo(endpointOf<asio::ip::udp>(splitAddress(Member.PeerAddress)), News);
+  }
+}
+
+auto fleet_link::setReady(const bool NewReady) -> void {
+  if (Ready == NewReady)
+    return;
+  Ready = NewReady;
+  tellNews();
+}
+
+auto fleet_link::noteSource() -> void { SourceHeardAt = now(); }
+
+auto fleet_link::leave() -> void {
+  Settings.Self.State = instance_state::Leaving;
+  Ready = false;
+  send(Table.leave(now()));
+}
+
+auto fleet_link::readyPeers() const -> std::vector<instance> {
+  std::vector<instance> Peers;
+  for (instance &Member : Table.members()) {
+    const auto Digest = Digests.find(Member.Id);
+    const bool IsReady = Member.State == instance_state::Live &&
+                         Digest != Digests.end() && Digest->second.Ready;
+    if (IsReady && Member.Id != Settings.Self.Id)
+      Peers.push_back(std::move(Member));
+  }
+  return Peers;
+}
+
+auto fleet_link::mustWatch() const -> bool {
+  std::vector<watch_duty::peer> Peers;
+  for (const instance &Member : readyPeers())
+    Peers.push_back({Member.Id, Digests.at(Member.Id).SourceSilence});
+  return Duty.mustWatch(Peers);
+}
+
+auto fleet_link::compareDocuments(const instance &From,
+                                  const fleet_digest &Digest) -> void {
+  for (const auto &[Name, Mark] : Digest.Documents)
+    if (Mark.isNewsFor(mark(Name)) && !Fetches.count(Name))
+      fetch(Name, From);
+}
+
+auto fleet_link::fetch(const std::string &Name, const instance &From) -> void {
+  host_port Server = splitAddress(From.PeerAddress);
+  Server.Port = Settings.DocumentPort;
+  auto Connection = std::make_shared<gateway::http_connection>(
+      Loop, endpointOf<asio::ip::tcp>(Server), FetchTimeout);
+  Fetches[Name] = Connection;
+  auto Timer = std::make_shared<asio::steady_timer>(Loop, FetchTimeout);
+  Timer->async_wait(
+      [this, Name, Connection](const boost::system::error_code &Error) {
+        const auto Known = Fetches.find(Name);
+        if (Error || Known == Fetches.end() || Known->second != Connection)
+          return;
+        Connection->close();
+        Fetches.erase(Name);
+      });
+  const std::string Bytes = "GET " + std::string(DocumentPath) + Name +
+                            " HTTP/1.1\r\nHost: " + Server.Host +
+                            "\r\nConnection: close\r\n\r\n";
+  Connection->open();
+  Connection->start(
+      {Bytes, {}, {}, false},
+      [this, Name, Timer](const gateway::exchange_end End,
+                          const gateway::exchange_answer &Answer) {
+        Timer->cancel();
+        Fetches.erase(Name);
+        if (End != gateway::exchange_end::Complete || Answer.Status != 200)
+          return;
+        const document_mark Mark{revisionIn(Answer, AsOfHeader),
+                                 revisionIn(Answer, ChangedHeader)};
+        if (Mark.isNewsFor(mark(Name)))
+          Handlers.Adopt(Name, Mark, Answer.Body);
+      });
+}
+
+auto fleet_link::onRequest(
+    const std::shared_ptr<gateway::caller_session> &Session,
+    const gateway::caller_request &Request) -> void {
+  gateway::caller_answer Answer;
+  Answer.Status = 404;
+  if (Request.Target.starts_with(DocumentPath)) {
+    const std::string Name = Request.Target.substr(DocumentPath.size());
+    const auto Known = Marks.find(Name);
+    if (Known != Marks.end()) {
+      Answer.Status = 200;
+      Answer.Body = Handlers.Write(Name);
+      Answer.Headers = {
+          {std::string(AsOfHeader), std::to_string(Known->second.AsOf)},
+          {std::string(ChangedHeader), std::to_string(Known->second.Changed)}};
+    }
+  }
+  Session->answer(std::move(Answer), true);
+}
+
+} // namespace tarragon::fleet
--- /dev/null
+++ b/src/fleet/fleetlink.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "fleet/fleetcodec.h"
+#include "fleet/types/fleetsettings.h"
+#include "fleet/watchduty.h"
+#include "gateway/types/callerrequest.h"
+#include "membership/membertable.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace tarragon::gateway {
+class caller_session;
+class http_connection;
+} // namespace tarragon::gateway
+
+namespace tarragon::fleet {
+
+/// This instance among its peers: who is alive, and copies of shared documents
+/// that pass from those that heard of a change to those that didn't.
+class fleet_link {
+public:
+  struct handlers {
+    /// The document as it is sent to peers.
+    std::function<std::string(const std::string &Name)> Write;
+    /// A peer's newer copy.
+    std::function<void(const std::string &Name, document_mark Mark,
+                       const std::string &Body)>
+        Adopt;
+    /// Who is alive may have changed.
+    std::function<void()> OnMembers;
+  };
+
+  fleet_link(boost::asio::io_context &Loop, fleet_settings Settings,
+             handlers Handlers);
+  ~fleet_link();
+
+  /// False when the datagram address can't be had.
+  auto start() -> bool;
+
+  /// Own copy of \p Name is at \p Mark; peers are told at once of a change.
+  auto setMark(const std::string &Name, document_mark Mark) -> void;
+  auto mark(const std::string &Name) const -> document_mark;
+
+  auto setReady(bool Ready) -> void;
+
+  /// The source answered just now.
+  auto noteSource() -> void;
+
+  auto leave() -> void;
+
+  /// Live peers that told they serve callers; without this instance.
+  auto readyPeers() const -> std::vector<instance>;
+
+  /// The most instances seen alive at once, this one included.
+  auto instancesSeen() const -> int { return InstancesSeen; }
+
+  auto mustWatch() const -> bool;
+
+  /// Answers a peer that asks for a document.
+  auto onRequest(const std::shared_ptr<gateway::caller_session> &Session,
+                 const gateway::caller_request &Request) -> void;
+
+private:
+  using endpoint = boost::asio::ip::udp::endpoint;
+
+  auto send(const std::vector<membership::outgoing_gossip> &Messages) -> void;
+  auto sendTo(const endpoint &To, const membership::gossip_message &Message)
+      -> void;
+  auto receive() -> void;
+  auto onDatagram(std::string_view Text) -> void;
+  auto arrangeWake() -> void;
+  auto greetSeeds() -> void;
+  auto tellNews() -> void;
+  auto compareDocuments(const instance &From, const fleet_digest &Digest)
+      -> void;
+  auto fetch(const std::string &Name, const instance &From) -> void;
+  auto ownDigest() const -> fleet_digest;
+  auto membersChanged() -> void;
+
+  boost::asio::io_context &Loop;
+  fleet_settings Settings;
+  handlers Handlers;
+  membership::member_table Table;
+  watch_duty Duty;
+  boost::asio::ip::udp::socket Socket;
+  boost::asio::steady_timer WakeTimer;
+  boost::asio::steady_timer GreetTimer;
+  std::array<char, 65536> Buffer;
+  endpoint Sender;
+  std::map<instance_id, fleet_digest> Digests; ///< as peers told
+  std::map<std::string, document_mark> Marks;
+  std::map<std::string, std::shared_ptr<gateway::http_connection>> Fetches;
+  std::uint64_t KnownRevision = 0;
+  int InstancesSeen = 1;
+  bool Ready = false;
+  time_point SourceHeardAt;
+};
+
+} // namespace tarragon::fleet
--- /dev/null
+++ b/src/fleet/types/fleetdigest.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "fleet/types/documentmark.h"
+#include "global/types/time.h"
+
+#include <map>
+#include <string>
+
+namespace tarragon::fleet {
+
+/// What an instance tells its peers of itself beside membership.
+struct fleet_digest {
+  std::map<std::string, document_mark> Documents; ///< by name
+  milliseconds SourceSilence{0}; ///< since the source last answered it
+  bool Ready = false;            ///< it serves callers
+};
+
+} // namespace tarragon::fleet
--- /dev/null
+++ b/src/gateway/activerequest.cpp
@@ -0,0 +1,334 @@
+#include "gateway/activerequest.h"
+
+#include "gateway/callersession.h"
+#include "gateway/gateway.h"
+#include "gateway/internal/answerwriter.h"
+#include "global/hash.h"
+#include "global/log.h"
+#include "route/recordmerge.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+
+namespace tarragon::gateway {
+
+namespace {
+
+using placement::attempt_end;
+using placement::plan_verdict;
+
+/// When a refused caller may find room again.
+constexpr std::string_view RetryAfterSeconds = "0.25";
+
+auto equal(const std::string_view Left, const std::string_view Right) -> bool {
+  return boost::beast::iequals({Left.data(), Left.size()},
+                               {Right.data(), Right.size()});
+}
+
+auto headerValue(const header_fields &Fields, const std::string_view Name)
+    -> std::string {
+  for (const header_field &Field : Fields)
+    if (equal(Field.Name, Name))
+      return Field.Value;
+  return {};
+}
+
+auto verdictName(const plan_verdict Verdict) -> std::string {
+  switch (Verdict) {
+  case plan_verdict::Answer:
+    return "answer";
+  case plan_verdict::TargetError:
+    return "target_error";
+  case plan_verdict::NotRun:
+    return "not_run";
+  case plan_verdict::Unavailable:
+    return "unavailable";
+  case plan_verdict::TimedOut:
+    return "timed_out";
+  }
+  return "unavailable";
+}
+
+auto millisecondsSince(const time_point Then, const time_point Now)
+    -> std::string {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(Now - Then).count());
+}
+
+} // namespace
+
+active_request::active_request(gateway &NewGateway, origin NewOrigin,
+                               placement::request_plan NewPlan,
+                               const time_point NewDeadline)
+    : Gateway(NewGateway), Origin(std::move(NewOrigin)),
+      Plan(std::move(NewPlan)), Deadline(NewDeadline),
+      Timer(NewGateway.loop()) {
+  const header_names &Names = Gateway.settings().Names;
+  const caller_request &Request = Origin.Request;
+  Id = headerValue(Request.Headers, Names.RequestId);
+  Fingerprint = hash64(Request.Method + ' ' + Request.Host + Request.Target +
+                       '\n' + Request.Body);
+  CommonHead = Request.Method + ' ' + Request.Target + " HTTP/1.1\r\n";
+  for (const header_field &Field : internal::passedOn(Request.Headers))
+    if (!equal(Field.Name, Names.Deadline) &&
+        !equal(Field.Name, Names.ExpectedTarget) &&
+        !equal(Field.Name, "expect"))
+      CommonHead += Field.Name + ": " + Field.Value + "\r\n";
+  if (Request.HasBody)
+    CommonHead +=
+        "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+}
+
+auto active_request::begin() -> void {
+  auto Self = shared_from_this();
+  Origin.Session->setGoneHandler([Self] { Self->onCallerGone(); });
+  perform(Plan.start(std::chrono::steady_clock::now()));
+}
+
+auto active_request::perform(const placement::plan_actions &Actions) -> void {
+  for (const placement::plan_action &Action : Actions) {
+    if (const auto *Send = std::get_if<placement::send_attempt>(&Action))
+      send(*Send);
+    else if (const auto *Cancel =
+                 std::get_if<placement::cancel_attempt>(&Action))
+      cancel(Cancel->Key, false);
+    else if (const auto *Finish = std::get_if<placement::finish_plan>(&Action))
+      finish(*Finish);
+  }
+  if (!Plan.finished())
+    schedule();
+}
+
+auto active_request::requestBytes(const route::target_entry &Target,
+                                  const time_point Now) const -> std::string {
+  const header_names &Names = Gateway.settings().Names;
+  const auto Left = std::max<milliseconds>(
+      std::chrono::duration_cast<milliseconds>(Deadline - Now),
+      milliseconds(1));
+  std::string Bytes = CommonHead;
+  Bytes += Names.Deadline + ": " + std::to_string(Left.count()) + "\r\n";
+  Bytes += Names.ExpectedTarget + ": " + Target.Id + "\r\n\r\n";
+  Bytes += Origin.Request.Body;
+  return Bytes;
+}
+
+auto active_request::send(const placement::send_attempt &Action) -> void {
+  const auto Now = std::chrono::steady_clock::now();
+  const bool Fresh =
+      Origin.Route->Repeat == route::repeatability::NonIdempotent;
+  exchange &Exchange = Exchanges[Action.Key];
+  Exchange.Target = Action.Target.Id;
+  Exchange.Connection = Gateway.pool(Action.Target).acquire(Fresh, Now);
+  auto Self = shared_from_this();
+  const placement::attempt_key Key = Action.Key;
+  if (!Exchange.Connection) {
+    boost::asio::post(Gateway.loop(), [Self, Key] {
+      Self->onEnded(Key, exchange_end::NotSent, {});
+    });
+    return;
+  }
+  Exchange.Connection->start(
+      {requestBytes(Action.Target, Now), Gateway.settings().Names.RequestId, Id,
+       Origin.Request.Method == "HEAD"},
+      [Self, Key](const exchange_end End, exchange_answer Answer) {
+        Self->onEnded(Key, End, std::move(Answer));
+      });
+}
+
+auto active_request::cancel(const placement::attempt_key Key,
+                            const bool CallerGone) -> void {
+  const auto Known = Exchanges.find(Key);
+  if (Known == Exchanges.end())
+    return;
+  Known->second.GivenUp = true;
+  if (!Known->second.Connection)
+    return;
+  const auto Connection = std::move(Known->second.Connection);
+  Known->second.Connection = nullptr;
+  const route::target_entry *Target =
+      Gateway.targets().book().find(Known->second.Target);
+  if (CallerGone || !Target)
+    Connection->close();
+  else
+    Gateway.pool(*Target).linger(Connection, std::chrono::steady_clock::now());
+}
+
+auto active_request::classify(const exchange_end End,
+                              const exchange_answer &Answer) const
+    -> attempt_end {
+  switch (End) {
+  case exchange_end::NotSent:
+    return attempt_end::Unreachable;
+  case exchange_end::Broken:
+    return attempt_end::Broken;
+  case exchange_end::Complete:
+    break;
+  }
+  const header_names &Names = Gateway.settings().Names;
+  if (Answer.Status == 421)
+    return attempt_end::Misdirected;
+  if (Answer.find(Names.NotRun))
+    return attempt_end::Shed;
+  const bool Ours = Answer.find(Names.RequestId) &&
+                    !Answer.find("Content-Encoding") &&
+                    Answer.find(Names.Stamp);
+  if (Answer.Status >= 200 && Answer.Status < 300)
+    return Ours ? attempt_end::Answered : attempt_end::Broken;
+  return attempt_end::Failed;
+}
+
+auto active_request::onEnded(const placement::attempt_key Key,
+                             const exchange_end End, exchange_answer Answer)
+    -> void {
+  exchange &Exchange = Exchanges[Key];
+  Exchange.Connection = nullptr;
+  if (Plan.finished() || Exchange.GivenUp)
+    return;
+  const attempt_end AttemptEnd = classify(End, Answer);
+  Exchange.Answer = std::move(Answer);
+  Gateway.metrics()
+      .counter("tarragon_attempts_total",
+               {{"end", std::to_string(static_cast<int>(AttemptEnd))}})
+      .add();
+  if (AttemptEnd == attempt_end::Broken)
+    noteBroken(Exchange.Target);
+  perform(Plan.onEnded(Key, AttemptEnd, std::chrono::steady_clock::now()));
+}
+
+auto active_request::noteBroken(const std::string &Target) -> void {
+  Gateway.poison().recordCrash({Fingerprint, Target, true, milliseconds(0)},
+                               std::chrono::steady_clock::now());
+}
+
+auto active_request::onCallerGone() -> void {
+  if (Plan.finished())
+    return;
+  Timer.cancel();
+  for (const placement::plan_action &Action :
+       Plan.abandon(std::chrono::steady_clock::now()))
+    if (const auto *Cancel = std::get_if<placement::cancel_attempt>(&Action))
+      cancel(Cancel->Key, true);
+  Gateway.metrics().counter("tarragon_callers_gone_total").add();
+  Gateway.release(shared_from_this());
+}
+
+auto active_request::schedule() -> void {
+  if (Timer.expiry() == Plan.nextWake())
+    return;
+  Timer.expires_at(Plan.nextWake());
+  auto Self = shared_from_this();
+  Timer.async_wait([Self](const boost::system::error_code &Error) {
+    if (Error || Self->Plan.finished())
+      return;
+    const auto Now = std::chrono::steady_clock::now();
+    Self->Timer.expires_at(time_point::min());
+    Self->perform(Self->Plan.onTimer(Now));
+  });
+}
+
+auto active_request::passedOn(const exchange_answer &Answer) const
+    -> caller_answer {
+  caller_answer Passed;
+  Passed.Status = Answer.Status;
+  Passed.Reason = Answer.Reason;
+  const bool IsHead = Origin.Request.Method == "HEAD";
+  for (const header_field &Field : internal::passedOn(Answer.Headers))
+    Passed.Headers.push_back(Field);
+  Passed.BodyOmitted = IsHead;
+  Passed.Body = Answer.Body;
+  return Passed;
+}
+
+auto active_request::merged() -> caller_answer {
+  const header_names &Names = Gateway.settings().Names;
+  std::vector<std::string_view> Parts;
+  std::string Stamps;
+  for (const auto &[Key, Exchange] : Exchanges) {
+    const exchange_answer &Answer = Exchange.Answer;
+    const bool Counts =
+        classify(Answer.Status ? exchange_end::Complete : exchange_end::Broken,
+                 Answer) == attempt_end::Answered;
+    if (!Counts)
+      continue;
+    Parts.push_back(Answer.Body);
+    Stamps += Stamps.empty() ? "" : ", ";
+    Stamps += *Answer.find(Names.Stamp);
+  }
+  caller_answer Merged;
+  Merged.Headers.push_back({Names.RequestId, Id});
+  Merged.Headers.push_back({Names.PartStamps, Stamps});
+  const std::size_t Missing = Origin.Route->Shards.size() - Parts.size();
+  Merged.Headers.push_back({Names.MissingParts, std::to_string(Missing)});
+  Merged.Body = route::mergeGreatest(Parts, Origin.Route->TopRecords);
+  return Merged;
+}
+
+auto active_request::answerOf(const placement::finish_plan &Finish)
+    -> caller_answer {
+  caller_answer Answer;
+  switch (Finish.Verdict) {
+  case plan_verdict::Answer:
+    if (Origin.Route->scattered())
+      return merged();
+    for (const auto &[Key, Exchange] : Exchanges)
+      if (Exchange.Answer.Status >= 200 && Exchange.Answer.Status < 300 &&
+          classify(exchange_end::Complete, Exchange.Answer) ==
+              attempt_end::Answered)
+        return passedOn(Exchange.Answer);
+    break;
+  case plan_verdict::TargetError:
+    return passedOn(Exchanges[Finish.Failure].Answer);
+  case plan_verdict::NotRun:
+    Answer.Status = 503;
+    Answer.Headers.push_back({"Retry-After", std::string(RetryAfterSeconds)});
+    Answer.Body = "not run\n";
+    return Answer;
+  case plan_verdict::Unavailable:
+    break;
+  case plan_verdict::TimedOut:
+    Answer.Status = 504;
+    Answer.Body = "timed out\n";
+    return Answer;
+  }
+  Answer.Status = 502;
+  Answer.Body = "no whole answer\n";
+  return Answer;
+}
+
+auto active_request::finish(const placement::finish_plan &Finish) -> void {
+  Timer.cancel();
+  caller_answer Answer = answerOf(Finish);
+  report(Finish, Answer);
+  if (Finish.Verdict == plan_verdict::Answer)
+    Gateway.poison().recordSuccess(Fingerprint);
+  Origin.Session->answer(std::move(Answer));
+  Gateway.release(shared_from_this());
+}
+
+auto active_request::report(const placement::finish_plan &Finish,
+                            const caller_answer &Answer) -> void {
+  const auto Now = std::chrono::steady_clock::now();
+  const std::string Verdict = verdictName(Finish.Verdict);
+  const std::string Kind = Origin.Route->scattered() ? "scattered" : "single";
+  report::metrics_registry &Metrics = Gateway.metrics();
+  Metrics.counter("tarragon_requests_total", {{"kind", Kind}, {"end", Verdict}})
+      .add();
+  Metrics.counter("tarragon_extra_attempts_total").add(Plan.extraAttempts());
+  Metrics.summary("tarragon_request_seconds", {{"kind", Kind}})
+      .observe(std::chrono::duration_cast<microseconds>(
+          Now - Origin.Request.ReceivedAt));
+  if (Finish.Verdict == plan_verdict::Answer)
+    return;
+  log::write(log::level::Info, log::part::Query, "request ended unserved",
+             {{"request", Id},
+              {"route", Origin.Route->Name},
+              {"version", std::to_string(Origin.Table->set().Version)},
+              {"verdict", Verdict},
+              {"status", std::to_string(Answer.Status)},
+              {"attempts", std::to_string(Exchanges.size())},
+              {"ms", millisecondsSince(Origin.Request.ReceivedAt, Now)}});
+}
+
+} // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,223 @@
+#include "gateway/gateway.h"
+
+#include "gateway/activerequest.h"
+#include "gateway/callersession.h"
+#include "global/hash.h"
+#include "global/log.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
+
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace tarragon::gateway {
+
+namespace {
+
+constexpr milliseconds SweepPeriod{100};
+constexpr milliseconds PoisonHold{30000};
+constexpr milliseconds RetryWithoutRoutes{250};
+constexpr milliseconds RetryElsewhere{20};
+/// The way of the last answer back to its caller.
+constexpr milliseconds LongestWayBack{25};
+constexpr milliseconds ShortestEarlyMargin{12};
+constexpr double ShareTolerance = 1e-9;
+
+auto numberIn(const caller_request &Request, const std::string &Name)
+    -> std::optional<milliseconds> {
+  for (const header_field &Field : Request.Headers) {
+    if (!boost::beast::iequals(Field.Name, Name))
+      continue;
+    std::int64_t Count = 0;
+    const char *End = Field.Value.data() + Field.Value.size();
+    const auto Read = std::from_chars(Field.Value.data(), End, Count);
+    if (Read.ec == std::errc() && Read.ptr == End && Count >= 0)
+      return milliseconds(Count);
+  }
+  return std::nullopt;
+}
+
+auto leastParts(const route::route &Route) -> std::size_t {
+  const double Exact =
+      Route.LeastShare * static_cast<double>(Route.Shards.size());
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(std::ceil(Exact - ShareTolerance)));
+}
+
+auto secondsText(const milliseconds Time) -> std::string {
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.3f",
+                std::chrono::duration<double>(Time).count());
+  return Text.data();
+}
+
+} // namespace
+
+gateway::gateway(boost::asio::io_context &NewLoop, gateway_settings NewSettings,
+                 report::metrics_registry &NewMetrics)
+    : Loop(NewLoop), Settings(std::move(NewSettings)), Metrics(NewMetrics),
+      Targets(Settings.FailureDomain),
+      Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
+      SweepTimer(NewLoop) {
+  Budgets.setLimits(Settings.Retries);
+  sweep();
+}
+
+gateway::~gateway() = default;
+
+auto gateway::version() const -> std::uint64_t {
+  return Table ? Table->set().Version : 0;
+}
+
+auto gateway::setRoutes(std::shared_ptr<const route::route_set> Routes)
+    -> void {
+  if (Routes->Version <= version())
+    return;
+  Targets.setConnectionLimits(Routes->MostConnections, Targets.instances());
+  for (auto At = Latencies.begin(); At != Latencies.end();) {
+    const bool Kept = std::any_of(
+        Routes->Routes.begin(), Routes->Routes.end(),
+        [&](const route::route &Route) { return Route.Name == At->first; });
+    At = Kept || !Active.empty() ? std::next(At) : Latencies.erase(At);
+  }
+  Table = std::make_shared<route::route_table>(std::move(Routes));
+  log::write(log::level::Info, log::part::Config, "version is in force",
+             {{"version", std::to_string(version())}});
+  warmPools();
+}
+
+auto gateway::setInstances(const int Count) -> void {
+  if (Count == Targets.instances())
+    return;
+  placement::retry_limits Limits = Budgets.limits();
+  Limits.Instances = Count;
+  Budgets.setLimits(Limits);
+  Targets.setConnectionLimits(Table ? Table->set().MostConnections
+                                    : std::map<std::string, int>{},
+                              Count);
+}
+
+auto gateway::applyTargets(const route::target_book::changes &Changes) -> void {
+  Targets.apply(Changes, std::chrono::steady_clock::now());
+  for (const route::target_book::change &Change : Changes) {
+    if (!Change.Usable || Change.Reborn)
+      Pools.erase(Change.Id);
+    log::write(log::level::Info, log::part::Membership,
+               Change.Usable ? "target may get work" : "target gets no work",
+               {{"target", Change.Id}});
+  }
+  warmPools();
+}
+
+auto gateway::warmPools() -> void {
+  if (!Table)
+    return;
+  for (const auto &[Service, Most] : Table->set().MostConnections)
+    for (const route::target_entry *Entry : Targets.book().usable(Service))
+      pool(*Entry).warm();
+}
+
+auto gateway::pool(const route::target_entry &Target) -> target_pool & {
+  auto &Pool = Pools[Target.Id];
+  const int Most = Targets.connectionShare(Target.Service);
+  if (!Pool) {
+    boost::system::error_code Error;
+    const auto Address = boost::asio::ip::make_address(Target.Ip, Error);
+    Pool = std::make_unique<target_pool>(
+        Loop, http_connection::endpoint(Address, Target.Port), Most);
+  }
+  Pool->setMostConnections(Most);
+  return *Pool;
+}
+
+auto gateway::sweep() -> void {
+  const auto Now = std::chrono::steady_clock::now();
+  for (auto &[Id, Pool] : Pools)
+    Pool->sweep(Now);
+  const auto Changes = Targets.book().expire(Now);
+  if (!Changes.empty())
+    applyTargets(Changes);
+  SweepTimer.expires_after(SweepPeriod);
+  SweepTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      sweep();
+  });
+}
+
+auto gateway::latencies(const route::route &Route)
+    -> placement::latency_model & {
+  // A third of the objective is where extra attempts still help.
+  return Latencies.try_emplace(Route.Name, Route.Objective / 3).first->second;
+}
+
+auto gateway::waitOf(const caller_request &Request,
+                     const route::route &Route) const -> milliseconds {
+  const auto Asked = numberIn(Request, Settings.Names.Deadline);
+  return Asked ? std::min(*Asked, Route.Timeout) : Route.Timeout;
+}
+
+auto gateway::planFor(const route::route &Route, const caller_request &Request)
+    -> placement::plan_settings {
+  const milliseconds Wait = waitOf(Request, Route);
+  placement::plan_settings Plan;
+  if (Route.scattered())
+    Plan.Services = Route.Shards;
+  else
+    Plan.Services = {Route.Services[Turns.next(Route)].Service};
+  Plan.LeastParts = Route.scattered() ? leastParts(Route) : 1;
+  Plan.Repeat = Route.Repeat;
+  Plan.Attempts = Route.Attempts;
+  Plan.Deadline =
+      Request.ReceivedAt + Wait - std::min(LongestWayBack, Wait / 10);
+  Plan.EarlyAt = Request.ReceivedAt + Route.Objective -
+                 std::max(ShortestEarlyMargin, Route.Objective / 10);
+  return Plan;
+}
+
+auto gateway::endsTooSoon(const route::route &Route, const time_point Now)
+    -> bool {
+  return EndsAt && Now + latencies(Route).quantile(0.99) > *EndsAt;
+}
+
+auto gateway::onRequest(const session_pointer &Session, caller_request Request)
+    -> void {
+  if (!Table)
+    return refuse(Session, 503, "no routes are known yet", RetryWithoutRoutes);
+  const route::route *Route = Table->find(Request.Host, Request.Target);
+  if (!Route)
+    return refuse(Session, 404, "no route", milliseconds(0));
+  const auto Now = std::chrono::steady_clock::now();
+  if (endsTooSoon(*Route, Now))
+    return refuse(Session, 503, "this instance is stopping", RetryElsewhere);
+  const auto Fingerprint = hash64(Request.Method + ' ' + Request.Host +
+                                  Request.Target + '\n' + Request.Body);
+  if (Poison.verdict(Fingerprint, Now) == admission::poison_verdict::Held)
+    return refuse(Session, 503, "held: it crashed targets", PoisonHold);
+  const placement::plan_settings Plan = planFor(*Route, Request);
+  auto Active = std::make_shared<active_request>(
+      *this, active_request::origin{Session, std::move(Request), Table, Route},
+      placement::request_plan({Targets, Budgets, latencies(*Route)}, Plan),
+      Plan.Deadline);
+  this->Active.insert(Active);
+  Active->begin();
+}
+
+auto gateway::refuse(const session_pointer &Session, const unsigned Status,
+                     const std::string_view Why, const milliseconds RetryAfter)
+    -> void {
+  caller_answer Answer;
+  Answer.Status = Status;
+  if (RetryAfter.count() > 0)
+    Answer.Headers.push_back({"Retry-After", secondsText(RetryAfter)});
+  Answer.Body = std::string(Why) + "\n";
+  Metrics.counter("tarragon_refused_total", {{"why", std::string(Why)}}).add();
+  Session->answer(std::move(Answer));
+}
+
+auto gateway::release(const std::shared_ptr<active_request> &Request) -> void {
+  Active.erase(Request);
+}
+
+} // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "admission/poisontracker.h"
+#include "gateway/targetpool.h"
+#include "gateway/types/callerrequest.h"
+#include "gateway/types/gatewaysettings.h"
+#include "placement/latencymodel.h"
+#include "placement/retrybudgettable.h"
+#include "placement/targetset.h"
+#include "placement/types/plansettings.h"
+#include "report/metricsregistry.h"
+#include "route/routetable.h"
+#include "route/weightedturns.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace tarragon::gateway {
+
+class active_request;
+class caller_session;
+
+/// Takes callers' requests and sees each through to its answer: route, plan,
+/// targets, answer. All of it runs on one event loop.
+class gateway {
+public:
+  using session_pointer = std::shared_ptr<caller_session>;
+
+  gateway(boost::asio::io_context &Loop, gateway_settings Settings,
+          report::metrics_registry &Metrics);
+  ~gateway();
+
+  /// Puts \p Routes in force unless a higher version is.
+  auto setRoutes(std::shared_ptr<const route::route_set> Routes) -> void;
+
+  /// The version in force, or 0.
+  auto version() const -> std::uint64_t;
+
+  auto onRequest(const session_pointer &Session, caller_request Request)
+      -> void;
+
+  /// Takes what changed in the book of targets.
+  auto applyTargets(const route::target_book::changes &Changes) -> void;
+
+  /// How many instances share the budgets and the targets' connections.
+  auto setInstances(int Count) -> void;
+
+  /// Requests that can't be answered by \p Until are refused from now on.
+  auto endBy(time_point Until) -> void { EndsAt = Until; }
+
+  auto requestsAtHand() const -> std::size_t { return Active.size(); }
+  auto targets() -> placement::target_set & { return Targets; }
+  auto loop() -> boost::asio::io_context & { return Loop; }
+  auto settings() const -> const gateway_settings & { return Settings; }
+  auto budgets() -> placement::retry_budget_table & { return Budgets; }
+  auto metrics() -> report::metrics_registry & { return Metrics; }
+  auto poison() -> admission::poison_tracker & { return Poison; }
+
+  /// The pool of \p Target, opened when it is new.
+  auto pool(const route::target_entry &Target) -> target_pool &;
+
+  /// An active request has its answer.
+  auto release(const std::shared_ptr<active_request> &Request) -> void;
+
+private:
+  auto refuse(const session_pointer &Session, unsigned Status,
+              std::string_view Why, milliseconds RetryAfter) -> void;
+  auto latencies(const route::route &Route) -> placement::latency_model &;
+  auto waitOf(const caller_request &Request, const route::route &Route) const
+      -> milliseconds;
+  auto planFor(const route::route &Route, const caller_request &Request)
+      -> placement::plan_settings;
+  auto endsTooSoon(const route::route &Route, time_point Now) -> bool;
+  auto sweep() -> void;
+  auto warmPools() -> void;
+
+  boost::asio::io_context &Loop;
+  gateway_settings Settings;
+  report::metrics_registry &Metrics;
+  placement::target_set Targets;
+  placement::retry_budget_table Budgets;
+  admission::poison_tracker Poison;
+  route::weighted_turns Turns;
+  std::shared_ptr<const route::route_table> Table;
+  std::map<std::string, placement::latency_model> Latencies; ///< by route
+  std::unordered_map<std::string, std::unique_ptr<target_pool>> Pools;
+  std::unordered_set<std::shared_ptr<active_request>> Active;
+  boost::asio::steady_timer SweepTimer;
+  std::optional<time_point> EndsAt;
+};
+
+} // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/httpconnection.cpp
@@ -0,0 +1,233 @@
+#include "gateway/httpconnection.h"
+
+#include "gateway/internal/sockets.h"
+
+#include <boost/asio/write.hpp>
+
+#include <charconv>
+
+namespace tarragon::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t MostHeaderBytes = 65536;
+constexpr std::uint64_t MostBodyBytes = 64 * 1024 * 1024;
+constexpr int MostSkippedAnswers = 4;
+/// How long before its stated end a kept connection is left alone.
+constexpr milliseconds KeepAliveMargin{700};
+
+auto copyAnswer(http::response<http::string_body> Message) -> exchange_answer {
+  exchange_answer Answer;
+  Answer.Status = Message.result_int();
+  Answer.Reason = std::string(Message.reason());
+  for (const auto &Field : Message)
+    Answer.Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  Answer.Body = std::move(Message.body());
+  return Answer;
+}
+
+/// The time given in a Keep-Alive header, if it states one.
+auto keepAliveTime(const http::fields &Fields) -> std::optional<milliseconds> {
+  const auto Value = Fields[http::field::keep_alive];
+  const auto At = Value.find("timeout=");
+  if (At == boost::beast::string_view::npos)
+    return std::nullopt;
+  const auto Digits = Value.substr(At + 8);
+  int Seconds = 0;
+  const auto Read =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds);
+  if (Read.ec != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+} // namespace
+
+http_connection::http_connection(asio::io_context &Loop, endpoint NewServer,
+                                 const milliseconds NewConnectTimeout)
+    : Socket(Loop), ConnectTimer(Loop), Server(std::move(NewServer)),
+      ConnectTimeout(NewConnectTimeout) {}
+
+auto http_connection::open() -> void {
+  boost::system::error_code Error;
+  Socket.open(Server.protocol(), Error);
+  if (!Error)
+    internal::setOptions(Socket);
+  auto Self = shared_from_this();
+  ConnectTimer.expires_after(ConnectTimeout);
+  ConnectTimer.async_wait([Self](const boost::system::error_code &Stopped) {
+    if (!Stopped && !Self->Connected)
+      Self->fail();
+  });
+  Socket.async_connect(Server, [Self](const boost::system::error_code &Result) {
+    Self->onConnected(Result);
+  });
+}
+
+auto http_connection::onConnected(const boost::system::error_code &Error)
+    -> void {
+  if (State == state::Closed)
+    return;
+  ConnectTimer.cancel();
+  if (Error)
+    return fail();
+  Connected = true;
+  IdleSince = std::chrono::steady_clock::now();
+  State = Handler ? state::Busy : state::Idle;
+  if (Handler)
+    send();
+  read();
+}
+
+auto http_connection::start(exchange_request NewRequest, handler NewHandler)
+    -> void {
+  Request = std::move(NewRequest);
+  Handler = std::move(NewHandler);
+  SkippedAnswers = 0;
+  if (!Connected)
+    return;
+  State = state::Busy;
+  send();
+}
+
+auto http_connection::send() -> void {
+  Wrote = false;
+  resetParser();
+  auto Self = shared_from_this();
+  asio::async_write(Socket, asio::buffer(Request.Bytes),
+                    [Self](const boost::system::error_code &Error,
+                           std::size_t) { Self->Wrote = !Error; });
+}
+
+auto http_connection::resetParser() -> void {
+  Parser.emplace();
+  Parser->eager(true);
+  Parser->header_limit(MostHeaderBytes);
+  Parser->body_limit(MostBodyBytes);
+  Parser->skip(Request.IsHead);
+}
+
+auto http_connection::read() -> void {
+  auto Self = shared_from_this();
+  Socket.async_read_some(
+      asio::buffer(Buffer),
+      [Self](const boost::system::error_code &Error, const std::size_t Count) {
+        Self->onRead(Error, Count);
+      });
+}
+
+auto http_connection::onRead(const boost::system::error_code &Error,
+                             const std::size_t Count) -> void {
+  if (State == state::Closed)
+    return;
+  if (Error) {
+    boost::system::error_code Partial;
+    // Only a regular end completes an answer that has no length.
+    if (Error == asio::error::eof && State == state::Busy && Parser &&
+        Parser->got_some()) {
+      MayReuse = false;
+      Parser->put_eof(Partial);
+      if (!Partial && Parser->is_done())
+        return onAnswer();
+    }
+    return fail();
+  }
+  if (State != state::Busy)
+    return fail(); // bytes that belong to no exchange
+  Pending.append(Buffer.data(), Count);
+  consume();
+  if (State != state::Closed)
+    read();
+}
+
+auto http_connection::consume() -> void {
+  while (State == state::Busy && !Pending.empty()) {
+    boost::system::error_code Error;
+    const std::size_t Used =
+        Parser->put(asio::buffer(Pending.data(), Pending.size()), Error);
+    Pending.erase(0, Used);
+    if (Error && Error != http::error::need_more)
+      return fail();
+    if (Parser->is_done()) {
+      onAnswer();
+      continue;
+    }
+    if (Used == 0)
+      return;
+  }
+}
+
+auto http_connection::onAnswer() -> void {
+  const auto &Head = Parser->get();
+  if (Head.result_int() < 200) {
+    resetParser();
+    return;
+  }
+  if (!Request.IdHeader.empty()) {
+    const auto Id = Head.find(Request.IdHeader);
+    if (Id != Head.end() && Id->value() != Request.Id) {
+      MayReuse = false;
+      if (++SkippedAnswers > MostSkippedAnswers || Parser->need_eof())
+        return fail();
+      resetParser();
+      return;
+    }
+  }
+  MayReuse = MayReuse && Wrote && Pending.empty() && Head.keep_alive() &&
+             !Parser->need_eof();
+  const auto Now = std::chrono::steady_clock::now();
+  if (const auto Time = keepAliveTime(Head))
+    ReuseBefore = Now + *Time - KeepAliveMargin;
+  IdleSince = Now;
+  finish(exchange_end::Complete, copyAnswer(Parser->release()));
+}
+
+auto http_connection::finish(const exchange_end End, exchange_answer Answer)
+    -> void {
+  const handler Done = std::move(Handler);
+  Handler = nullptr;
+  Request = {};
+  Parser.reset();
+  if (State == state::Busy)
+    State = state::Idle;
+  if (!MayReuse)
+    close();
+  if (Done)
+    Done(End, std::move(Answer));
+}
+
+auto http_connection::fail() -> void {
+  const bool Sent = Connected;
+  const handler Done = std::move(Handler);
+  const closed_handler Closed = std::move(ClosedHandler);
+  close();
+  if (Done)
+    Done(Sent ? exchange_end::Broken : exchange_end::NotSent, {});
+  else if (Closed)
+    Closed();
+}
+
+auto http_connection::close() -> void {
+  if (State == state::Closed)
+    return;
+  State = state::Closed;
+  Handler = nullptr;
+  ClosedHandler = nullptr;
+  ConnectTimer.cancel();
+  boost::system::error_code Ignored;
+  Socket.close(Ignored);
+}
+
+auto http_connection::setClosedHandler(closed_handler NewHandler) -> void {
+  ClosedHandler = std::move(NewHandler);
+}
+
+auto http_connection::reusable(const time_point Now) const -> bool {
+  return State == state::Idle && (!ReuseBefore || Now < *ReuseBefore);
+}
+
+} // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/httpconnection.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "gateway/types/exchangeanswer.h"
+#include "global/types/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tarragon::gateway {
+
+/// One request to be sent on a connection.
+struct exchange_request {
+  std::string Bytes;    ///< head and body, as they go out
+  std::string IdHeader; ///< echoed by the server; empty: not checked
+  std::string Id;
+  bool IsHead = false;
+};
+
+/// A connection of ours to a server, for one exchange at a time.
+///
+/// An answer that bears another request's id is skipped. Bytes that belong to
+/// no exchange, or an answer before the request was out, end the connection.
+class http_connection : public std::enable_shared_from_this<http_connection> {
+public:
+  using handler = std::function<void(exchange_end, exchange_answer)>;
+  using closed_handler = std::function<void()>;
+  using endpoint = boost::asio::ip::tcp::endpoint;
+
+  http_connection(boost::asio::io_context &Loop, endpoint Server,
+                  milliseconds ConnectTimeout);
+
+  /// Connects; exchanges may be started at once.
+  auto open() -> void;
+
+  /// Sends \p Request; \p Handler is called once, unless close() comes first.
+  auto start(exchange_request Request, handler Handler) -> void;
+
+  /// Ends the connection; the handlers are not called any more.
+  auto close() -> void;
+
+  /// To be called when an idle connection ends.
+  auto setClosedHandler(closed_handler Handler) -> void;
+
+  auto isOpen() const -> bool { return State != state::Closed; }
+  auto isIdle() const -> bool { return State == state::Idle; }
+
+  /// Open, or about to be, without an exchange.
+  auto isFree() const -> bool {
+    return State == state::Idle || (State == state::Connecting && !Handler);
+  }
+
+  /// Whether another exchange may follow at \p Now.
+  auto reusable(time_point Now) const -> bool;
+  auto idleSince() const -> time_point { return IdleSince; }
+  auto connected() const -> bool { return Connected; }
+
+private:
+  enum class state { Connecting, Idle, Busy, Closed };
+  using response_parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  auto onConnected(const boost::system::error_code &Error) -> void;
+  auto send() -> void;
+  auto read() -> void;
+  auto onRead(const boost::system::error_code &Error, std::size_t Count)
+      -> void;
+  auto consume() -> void;
+  auto onAnswer() -> void;
+  auto resetParser() -> void;
+  auto finish(exchange_end End, exchange_answer Answer) -> void;
+  auto fail() -> void;
+
+  boost::asio::ip::tcp::socket Socket;
+  boost::asio::steady_timer ConnectTimer;
+  endpoint Server;
+  milliseconds ConnectTimeout;
+  state State = state::Connecting;
+  bool Connected = false;
+  bool Wrote = false;   ///< the whole request is out
+  bool MayReuse = true; ///< after the present exchange
+  int SkippedAnswers = 0;
+  exchange_request Request;
+  handler Handler;
+  closed_handler ClosedHandler;
+  std::optional<response_parser> Parser;
+  std::string Pending; ///< bytes not yet parsed
+  std::array<char, 4096> Buffer;
+  time_point IdleSince;
+  std::optional<time_point> ReuseBefore;
+};
+
+} // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/internal/answerwriter.cpp
@@ -0,0 +1,92 @@
+#include "gateway/internal/answerwriter.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace tarragon::gateway::internal {
+
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr std::array<std::string_view, 10> ConnectionHeaders{
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "trailer",
+    "upgrade",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "content-length"};
+
+auto equal(const std::string_view Left, const std::string_view Right) -> bool {
+  return beast::iequals({Left.data(), Left.size()},
+                        {Right.data(), Right.size()});
+}
+
+auto reasonOf(const caller_answer &Answer) -> std::string {
+  if (!Answer.Reason.empty())
+    return Answer.Reason;
+  return std::string(beast::http::obsolete_reason(
+      static_cast<beast::http::status>(Answer.Status)));
+}
+
+auto appendField(std::string &Bytes, const std::string_view Name,
+                 const std::string_view Value) -> void {
+  Bytes += Name;
+  Bytes += ": ";
+  Bytes += Value;
+  Bytes += "\r\n";
+}
+
+} // namespace
+
+auto concernsConnection(const std::string_view Name) -> bool {
+  return std::any_of(
+      ConnectionHeaders.begin(), ConnectionHeaders.end(),
+      [&](const std::string_view Known) { return equal(Known, Name); });
+}
+
+auto passedOn(const header_fields &Fields) -> header_fields {
+  std::vector<std::string> Named;
+  for (const header_field &Field : Fields)
+    if (equal(Field.Name, "connection"))
+      for (const auto Token : beast::http::token_list{Field.Value})
+        Named.emplace_back(Token);
+  header_fields Passed;
+  for (const header_field &Field : Fields) {
+    const bool IsNamed =
+        std::any_of(Named.begin(), Named.end(), [&](const std::string &Name) {
+          return equal(Name, Field.Name);
+        });
+    if (!IsNamed && !concernsConnection(Field.Name))
+      Passed.push_back(Field);
+  }
+  return Passed;
+}
+
+auto writeAnswer(const caller_answer &Answer, const bool LastOne)
+    -> std::string {
+  std::string Bytes = "HTTP/1.1 " + std::to_string(Answer.Status) + ' ' +
+                      reasonOf(Answer) + "\r\n";
+  for (const header_field &Field : Answer.Headers)
+    if (!concernsConnection(Field.Name))
+      appendField(Bytes, Field.Name, Field.Value);
+  const bool NoLength = Answer.Status == 204 || Answer.Status == 304;
+  if (!NoLength && !Answer.BodyOmitted)
+    appendField(Bytes, "Content-Length", std::to_string(Answer.Body.size()));
+  if (LastOne)
+    appendField(Bytes, "Connection", "close");
+  Bytes += "\r\n";
+  if (!NoLength && !Answer.BodyOmitted)
+    Bytes += Answer.Body;
+  return Bytes;
+}
+
+} // namespace tarragon::gateway::internal
--- /dev/null
+++ b/src/gateway/types/exchangeanswer.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "gateway/types/headerfield.h"
+
+#include <string>
+#include <string_view>
+
+namespace tarragon::gateway {
+
+/// How an exchange with a server ended.
+enum class exchange_end {
+  Complete, ///< a whole answer came
+  NotSent,  ///< no byte of the request was sent
+  Broken    ///< sent, but no whole answer came
+};
+
+/// A server's whole answer.
+struct exchange_answer {
+  unsigned Status = 0;
+  std::string Reason;
+  header_fields Headers;
+  std::string Body;
+
+  /// The first value of \p Name (case is ignored), or null.
+  auto find(std::string_view Name) const -> const std::string *;
+};
+
+} // namespace tarragon::gateway
--- /dev/null
+++ b/src/gateway/types/gatewaysettings.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "gateway/types/headernames.h"
+#include "placement/retrybudget.h"
+
+#include <string>
+
+namespace tarragon::gateway {
+
+/// What a gateway is told at its start.
+struct gateway_settings {
+  header_names Names;
+  std::string FailureDomain;
+  placement::retry_limits Retries;
+};
+
+} // namespace tarragon::gateway
--- a/src/platform/backoff.cpp
+++ b/src/global/backoff.cpp
@@ -1,8 +1,8 @@
-#include "platform/backoff.h"
+#include "global/backoff.h"
 
 #include <algorithm>
 
-namespace tarragon::platform {
+namespace tarragon {
 
 backoff::backoff(const milliseconds First, const milliseconds Longest,
                  const std::uint64_t Seed)
@@ -16,4 +16,4 @@
   return Delay;
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon
--- a/src/platform/backoff.h
+++ b/src/global/backoff.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <random>
 
-namespace tarragon::platform {
+namespace tarragon {
 
 /// Exponential backoff with full jitter: the n-th delay is drawn evenly from
 /// 0 to min(Longest, First * 2^n). Pure; its randomness comes from the seed.
@@ -26,4 +26,4 @@
   std::mt19937_64 Random;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon
--- a/src/peer/internal/gossipcodec.cpp
+++ b/src/membership/gossipcodec.cpp
@@ -1,8 +1,8 @@
-#include "peer/internal/gossipcodec.h"
+#include "membership/gossipcodec.h"
 
 #include <json/json.h>
 
-namespace tarragon::peer {
+namespace tarragon::membership {
 
 namespace {
 
@@ -94,4 +94,4 @@
   return Message;
 }
 
-} // namespace tarragon::peer
+} // namespace tarragon::membership
--- a/src/peer/internal/gossipcodec.h
+++ b/src/membership/gossipcodec.h
@@ -4,7 +4,7 @@
 
 #include <json/forwards.h>
 
-namespace tarragon::peer {
+namespace tarragon::membership {
 
 /// JSON forms of membership messages. Readers throw Json::Exception on a wrong
 /// type.
@@ -13,4 +13,4 @@
 auto writeGossip(const membership::gossip_message &Message) -> Json::Value;
 auto readGossip(const Json::Value &Value) -> membership::gossip_message;
 
-} // namespace tarragon::peer
+} // namespace tarragon::membership
--- a/src/peer/peercodec.cpp
+++ b/src/peer/peercodec.cpp
@@ -1,6 +1,6 @@
 #include "peer/peercodec.h"
 
-#include "peer/internal/gossipcodec.h"
+#include "membership/gossipcodec.h"
 #include "peer/internal/worldcodec.h"
 
 #include <json/json.h>
@@ -9,6 +9,11 @@
 
 namespace {
 
+using membership::readGossip;
+using membership::readInstance;
+using membership::writeGossip;
+using membership::writeInstance;
+
 auto write(const dispatch_message &Message, const time_point Now)
     -> Json::Value {
   Json::Value Value = writeSubrequest(Message.Request, Now);
--- /dev/null
+++ b/src/placement/latencymodel.cpp
@@ -0,0 +1,51 @@
+#include "placement/latencymodel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragon::placement {
+
+namespace {
+
+constexpr double FirstBucketUs = 200;
+constexpr double Growth = 1.1;
+constexpr double FewestAttempts = 40;
+constexpr double MostAttempts = 4000; ///< then all counts are halved
+
+auto upperBound(const std::size_t Bucket) -> microseconds {
+  return microseconds(static_cast<std::int64_t>(
+      FirstBucketUs * std::pow(Growth, static_cast<double>(Bucket))));
+}
+
+} // namespace
+
+latency_model::latency_model(const milliseconds NewPrior) : Prior(NewPrior) {}
+
+auto latency_model::record(const microseconds Latency) -> void {
+  const double Us = std::max<double>(1, static_cast<double>(Latency.count()));
+  const double Step =
+      std::ceil(std::log(Us / FirstBucketUs) / std::log(Growth));
+  const auto Bucket = static_cast<std::size_t>(
+      std::clamp<double>(Step, 0, static_cast<double>(Buckets - 1)));
+  Counts[Bucket] += 1;
+  Total += 1;
+  if (Total < MostAttempts)
+    return;
+  for (double &Count : Counts)
+    Count /= 2;
+  Total /= 2;
+}
+
+auto latency_model::quantile(const double Share) const -> microseconds {
+  if (Total < FewestAttempts)
+    return Share > 0.75 ? microseconds(Prior) : microseconds(Prior) / 2;
+  double Left = Share * Total;
+  for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket) {
+    Left -= Counts[Bucket];
+    if (Left <= 0)
+      return upperBound(Bucket);
+  }
+  return upperBound(Buckets - 1);
+}
+
+} // namespace tarragon::placement
--- /dev/null
+++ b/src/placement/targetstate.cpp
@@ -0,0 +1,120 @@
+#include "placement/targetstate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragon::placement {
+
+namespace {
+
+constexpr double Smoothing = 0.25;
+/// Beliefs fade so that a target gets another chance.
+constexpr std::chrono::duration<double> Fading{2.5};
+constexpr double ColdSlowness = 1.6;
+constexpr microseconds LeastSilence{30000};
+constexpr int SilentTimes = 3; ///< the usual latency
+constexpr milliseconds FirstBlock{120};
+constexpr milliseconds LongestBlock{1500};
+constexpr int MostDoublings = 4;
+constexpr double RefusalWeight = 4;
+
+auto fade(const double Belief, const time_point Learned, const time_point Now)
+    -> double {
+  const std::chrono::duration<double> Age = Now - Learned;
+  return Belief * std::exp(-Age.count() / Fading.count());
+}
+
+} // namespace
+
+auto target_state::slowness(const time_point Now) const -> double {
+  const double Learned = 1 + fade(Slowness - 1, LearnedAt, Now);
+  return Now < ColdUntil ? std::max(Learned, ColdSlowness) : Learned;
+}
+
+auto target_state::refusals(const time_point Now) const -> double {
+  return fade(Refusals, LearnedAt, Now);
+}
+
+auto target_state::onSent(const time_point Now) -> void {
+  if (Outstanding++ == 0)
+    WaitingSince = Now;
+}
+
+auto target_state::fail(const time_point Now) -> void {
+  const auto Pause = FirstBlock * (1 << std::min(FailStreak, MostDoublings));
+  BlockedUntil = Now + std::min<milliseconds>(Pause, LongestBlock);
+  ++FailStreak;
+}
+
+auto target_state::onEnded(const attempt_end End, const microseconds Latency,
+                           const microseconds Typical, const time_point Now)
+    -> void {
+  const bool WasSilent = silent(Typical, Now);
+  Outstanding = std::max(0, Outstanding - 1);
+  const double Slow = slowness(Now);
+  const double Refused = refusals(Now);
+  const double Measured =
+      static_cast<double>(Latency.count()) /
+      std::max<double>(1, static_cast<double>(Typical.count()));
+  Slowness = Slow;
+  Refusals = Refused;
+  LearnedAt = Now;
+  switch (End) {
+  case attempt_end::Answered:
+  case attempt_end::Failed:
+    Slowness += Smoothing * (Measured - Slow);
+    Refusals +=
+        Smoothing * ((End == attempt_end::Failed ? 1.0 : 0.0) - Refused);
+    FailStreak = 0;
+    BlockedUntil = {};
+    WaitingSince = Now;
+    return;
+  case attempt_end::Shed:
+    Refusals += Smoothing * (1 - Refused);
+    FailStreak = 0;
+    WaitingSince = Now;
+    return;
+  case attempt_end::Broken:
+    Refusals += Smoothing * (1 - Refused);
+    if (++FailStreak > 2)
+      fail(Now);
+    return;
+  case attempt_end::Misdirected:
+  case attempt_end::Unreachable:
+    fail(Now);
+    return;
+  case attempt_end::Abandoned:
+    // The wait shows a lower bound of its latency.
+    Slowness = std::max(Slowness, Slow + Smoothing * (Measured - Slow));
+    if (WasSilent)
+      fail(Now);
+    return;
+  }
+}
+
+auto target_state::silent(const microseconds Typical,
+                          const time_point Now) const -> bool {
+  if (Outstanding == 0)
+    return false;
+  const auto Usual = std::chrono::duration_cast<microseconds>(
+      Typical * SilentTimes * std::max(1.0, slowness(Now)));
+  return Now - WaitingSince > std::max(LeastSilence, Usual);
+}
+
+auto target_state::blocked(const time_point Now) const -> bool {
+  return down(Now) || Outstanding >= MostOutstanding;
+}
+
+auto target_state::down(const time_point Now) const -> bool {
+  // One attempt at a time tells whether it is back.
+  return Now < BlockedUntil || (FailStreak > 0 && Outstanding > 0);
+}
+
+auto target_state::cost(const microseconds Typical, const time_point Now) const
+    -> double {
+  const double Usual = static_cast<double>(Typical.count());
+  return Usual * slowness(Now) * (1 + Outstanding) +
+         Usual * RefusalWeight * refusals(Now);
+}
+
+} // namespace tarragon::placement
--- /dev/null
+++ b/src/placement/targetstate.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "global/types/time.h"
+#include "placement/types/attemptend.h"
+
+#include <optional>
+
+namespace tarragon::placement {
+
+/// What this instance believes of one target, learned from its own attempts
+/// alone: how fast it is, whether it has fallen silent, sheds or fails.
+///
+/// Answers the loads "targets pause for a moment", "some targets turn slow",
+/// "a target goes dark" and "targets shed part of their requests". Pure; not
+/// locked.
+class target_state {
+public:
+  /// \p MostOutstanding is this instance's share of its connections.
+  auto setMostOutstanding(int Most) -> void { MostOutstanding = Most; }
+
+  /// It is slow until \p Until because it has just started.
+  auto setColdUntil(time_point Until) -> void { ColdUntil = Until; }
+
+  auto onSent(time_point Now) -> void;
+
+  /// \p Typical is the usual latency of such a request.
+  auto onEnded(attempt_end End, microseconds Latency, microseconds Typical,
+               time_point Now) -> void;
+
+  /// An attempt was outstanding longer than usual, and the target had
+  /// answered nothing meanwhile.
+  auto silent(microseconds Typical, time_point Now) const -> bool;
+
+  /// No new work for now: it was unreachable, silent or has no room.
+  auto blocked(time_point Now) const -> bool;
+
+  /// Nothing is known against it but a lack of room.
+  auto down(time_point Now) const -> bool;
+
+  /// What a request should expect to wait, for comparison between targets.
+  auto cost(microseconds Typical, time_point Now) const -> double;
+
+  auto outstanding() const -> int { return Outstanding; }
+
+private:
+  auto fail(time_point Now) -> void;
+  auto slowness(time_point Now) const -> double;
+  auto refusals(time_point Now) const -> double;
+
+  int MostOutstanding = 4;
+  int Outstanding = 0;
+  int FailStreak = 0;
+  double Slowness = 1; ///< latency over the usual, smoothed
+  double Refusals = 0; ///< share of attempts shed or broken, smoothed
+  time_point LearnedAt;
+  time_point WaitingSince; ///< of its next answer
+  time_point BlockedUntil;
+  time_point ColdUntil;
+};
+
+} // namespace tarragon::placement
--- /dev/null
+++ b/src/route/routetable.cpp
@@ -0,0 +1,47 @@
+#include "route/routetable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace tarragon::route {
+
+namespace {
+
+auto lowerCase(std::string_view Text) -> std::string {
+  std::string Lower(Text);
+  std::transform(
+      Lower.begin(), Lower.end(), Lower.begin(),
+      [](const unsigned char Letter) { return std::tolower(Letter); });
+  return Lower;
+}
+
+auto withoutPort(const std::string_view Host) -> std::string_view {
+  return Host.substr(0, Host.rfind(':'));
+}
+
+} // namespace
+
+route_table::route_table(std::shared_ptr<const route_set> NewSet)
+    : Set(std::move(NewSet)) {
+  for (const route &Route : Set->Routes)
+    Hosts[lowerCase(Route.Host)][Route.Prefix.size()].emplace(Route.Prefix,
+                                                              &Route);
+}
+
+auto route_table::find(const std::string_view Host,
+                       const std::string_view Target) const -> const route * {
+  const auto Known = Hosts.find(lowerCase(withoutPort(Host)));
+  if (Known == Hosts.end())
+    return nullptr;
+  const std::string_view Path = Target.substr(0, Target.find('?'));
+  for (const auto &[Length, Routes] : Known->second) {
+    if (Length > Path.size())
+      continue;
+    const auto Found = Routes.find(Path.substr(0, Length));
+    if (Found != Routes.end())
+      return Found->second;
+  }
+  return nullptr;
+}
+
+} // namespace tarragon::route
--- /dev/null
+++ b/src/route/routetable.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "route/types/routeset.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace tarragon::route {
+
+/// Finds the route of a request within one version. Immutable.
+class route_table {
+public:
+  explicit route_table(std::shared_ptr<const route_set> Set);
+
+  /// The route of \p Host (a port is ignored, case too) with the longest
+  /// prefix that begins the path of \p Target (a query is ignored), or null.
+  auto find(std::string_view Host, std::string_view Target) const
+      -> const route *;
+
+  auto set() const -> const route_set & { return *Set; }
+
+private:
+  /// Prefixes in descending order of their length.
+  using by_prefix =
+      std::map<std::size_t, std::unordered_map<std::string_view, const route *>,
+               std::greater<>>;
+
+  std::shared_ptr<const route_set> Set;
+  std::unordered_map<std::string, by_prefix> Hosts;
+};
+
+} // namespace tarragon::route
--- /dev/null
+++ b/src/route/types/routeset.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "route/types/callerlimits.h"
+#include "route/types/route.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tarragon::route {
+
+/// One accepted version of all routes, pinned whole by each request.
+struct route_set {
+  std::uint64_t Version = 0;
+  std::vector<route> Routes;
+  std::map<std::string, int> MostConnections; ///< of a target, by service
+  caller_limits Limits;
+};
+
+} // namespace tarragon::route
--- a/src/platform/callbudget.cpp
+++ b/src/store/callbudget.cpp
@@ -1,8 +1,8 @@
-#include "platform/callbudget.h"
+#include "store/callbudget.h"
 
 #include <algorithm>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 call_budget::call_budget(const double PerSecond, const double Capacity,
                          const time_point Now)
@@ -25,4 +25,4 @@
   Filled = Now;
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/callbudget.h
+++ b/src/store/callbudget.h
@@ -2,7 +2,7 @@
 
 #include "global/types/time.h"
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// A token bucket: a steady rate of calls with a bounded burst. Starts full.
 /// Pure; the caller locks.
@@ -23,4 +23,4 @@
   time_point Filled;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/circuit.cpp
+++ b/src/store/circuit.cpp
@@ -1,6 +1,6 @@
-#include "platform/circuit.h"
+#include "store/circuit.h"
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 auto circuit::allow(const time_point Now) -> bool {
   if (!open())
@@ -27,4 +27,4 @@
   return milliseconds{Draw(Random)};
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/circuit.h
+++ b/src/store/circuit.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <random>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// A circuit breaker: opens after consecutive failures, lets one probe
 /// through when its time is over, and closes on a success. Pure; the caller
@@ -37,4 +37,4 @@
   std::mt19937_64 Random;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/fakestore.h
+++ b/src/store/fakestore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/iobjectstore.h"
-#include "platform/types/callkind.h"
+#include "store/iobjectstore.h"
+#include "store/types/callkind.h"
 
 #include <cstdint>
 #include <deque>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// What goes wrong with one call. Reads know None and Unavailable only.
 enum class store_fault {
@@ -167,4 +167,4 @@
 
 static_assert(object_store<fake_store>);
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/httpexchange.cpp
+++ b/src/store/httpexchange.cpp
@@ -1,7 +1,7 @@
-#include "platform/httpexchange.h"
+#include "store/httpexchange.h"
 
 #include <memory>
-namespace tarragon::platform {
+namespace tarragon::store {
 
 namespace {
 
@@ -109,4 +109,4 @@
   return Reply;
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/httpexchange.h
+++ b/src/store/httpexchange.h
@@ -7,7 +7,7 @@
 #include <atomic>
 #include <string>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// One HTTP request.
 struct exchange_request {
@@ -40,4 +40,4 @@
 auto runExchange(CURL *Handle, const exchange_request &Request)
     -> exchange_reply;
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/internal/curlpool.cpp
+++ b/src/store/internal/curlpool.cpp
@@ -1,6 +1,6 @@
-#include "platform/internal/curlpool.h"
+#include "store/internal/curlpool.h"
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 namespace {
 
@@ -33,4 +33,4 @@
     Idle.push_back(std::move(Handle));
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/internal/curlpool.h
+++ b/src/store/internal/curlpool.h
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// Keeps idle libcurl handles, and with them their open connections.
 class curl_pool {
@@ -29,4 +29,4 @@
   std::vector<handle> Idle;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/internal/platformjson.cpp
+++ b/src/store/internal/platformjson.cpp
@@ -1,10 +1,10 @@
-#include "platform/internal/platformjson.h"
+#include "store/internal/platformjson.h"
 
 #include "global/json.h"
 
 #include <json/json.h>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 namespace {
 
@@ -105,4 +105,4 @@
   return Roster;
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/internal/platformjson.h
+++ b/src/store/internal/platformjson.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "platform/types/roster.h"
-#include "platform/types/storedobject.h"
-#include "platform/types/watchreply.h"
+#include "store/types/roster.h"
+#include "store/types/storedobject.h"
+#include "store/types/watchreply.h"
 
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// Each reads a reply's body; nothing when it is not of the form stated in
 /// docs/PROTOCOLS.md.
@@ -19,4 +19,4 @@
 auto readWatch(const std::string &Body) -> std::optional<watch_reply>;
 auto readRoster(const std::string &Body) -> std::optional<roster>;
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/iobjectstore.h
+++ b/src/store/iobjectstore.h
@@ -2,15 +2,15 @@
 
 #include "global/result.h"
 #include "global/types/time.h"
-#include "platform/types/storedobject.h"
-#include "platform/types/watchreply.h"
+#include "store/types/storedobject.h"
+#include "store/types/watchreply.h"
 #include "world/types/instance.h"
 
 #include <concepts>
 #include <string>
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// The platform's object API, called synchronously. Failures: ObjectMissing,
 /// ObjectConflict (the write did not happen), PlatformUnavailable (proven not
@@ -28,4 +28,4 @@
   { Platform.instances() } -> std::same_as<result<std::vector<instance>>>;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/platformclient.cpp
+++ b/src/store/platformclient.cpp
@@ -1,15 +1,15 @@
-#include "platform/platformclient.h"
+#include "store/platformclient.h"
 
-#include "platform/callbudget.h"
-#include "platform/circuit.h"
-#include "platform/httpexchange.h"
-#include "platform/internal/curlpool.h"
-#include "platform/internal/platformjson.h"
+#include "store/callbudget.h"
+#include "store/circuit.h"
+#include "store/httpexchange.h"
+#include "store/internal/curlpool.h"
+#include "store/internal/platformjson.h"
 
 #include <atomic>
 #include <mutex>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 namespace {
 
@@ -257,4 +257,4 @@
   return Calls->counts();
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/platformclient.h
+++ b/src/store/platformclient.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/iobjectstore.h"
-#include "platform/types/callcounts.h"
-#include "platform/types/clientsettings.h"
-#include "platform/types/roster.h"
+#include "store/iobjectstore.h"
+#include "store/types/callcounts.h"
+#include "store/types/clientsettings.h"
+#include "store/types/roster.h"
 
 #include <memory>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// Calls the platform's object API over HTTP, one exchange a call; a model of
 /// object_store. Thread-safe: calls run side by side on handles of their own.
@@ -57,4 +57,4 @@
 
 static_assert(object_store<platform_client>);
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/tests/client_tests.cpp
+++ b/src/store/tests/client_tests.cpp
@@ -1,13 +1,13 @@
 #include <boost/test/unit_test.hpp>
 
-#include "platform/platformclient.h"
-#include "platform/tests/scriptedserver.h"
+#include "store/platformclient.h"
+#include "store/tests/scriptedserver.h"
 
 #include <atomic>
 #include <thread>
 
 using namespace tarragon;
-using namespace tarragon::platform;
+using namespace tarragon::store;
 using namespace std::chrono_literals;
 
 namespace {
--- a/src/platform/tests/scriptedserver.cpp
+++ b/src/store/tests/scriptedserver.cpp
@@ -1,4 +1,4 @@
-#include "platform/tests/scriptedserver.h"
+#include "store/tests/scriptedserver.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -8,7 +8,7 @@
 #include <array>
 #include <stdexcept>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 namespace {
 
@@ -92,4 +92,4 @@
          std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/tests/scriptedserver.h
+++ b/src/store/tests/scriptedserver.h
@@ -6,7 +6,7 @@
 #include <thread>
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// Listens on loopback and answers each connection's first request with the
 /// next of its replies, byte for byte, then closes it. An empty reply closes
@@ -39,4 +39,4 @@
 /// A whole HTTP reply.
 auto httpReply(int Status, const std::string &Body) -> std::string;
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/tests/platform_tests.cpp
+++ b/src/store/tests/store_tests.cpp
@@ -1,13 +1,13 @@
 #define BOOST_TEST_MODULE platform
 #include <boost/test/unit_test.hpp>
 
-#include "platform/backoff.h"
-#include "platform/callbudget.h"
-#include "platform/circuit.h"
-#include "platform/fakestore.h"
+#include "global/backoff.h"
+#include "store/callbudget.h"
+#include "store/circuit.h"
+#include "store/fakestore.h"
 
 using namespace tarragon;
-using namespace tarragon::platform;
+using namespace tarragon::store;
 using namespace std::chrono_literals;
 
 namespace {
--- a/src/platform/types/callcounts.h
+++ b/src/store/types/callcounts.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/types/callkind.h"
+#include "store/types/callkind.h"
 
 #include <array>
 #include <cstdint>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// Calls of one kind since the start of the client.
 struct call_count {
@@ -26,4 +26,4 @@
   }
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/types/callkind.h
+++ b/src/store/types/callkind.h
@@ -2,7 +2,7 @@
 
 #include <cstddef>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// The calls of the object API.
 enum class call_kind { Get, Put, Remove, List, Watch, Instances };
@@ -25,4 +25,4 @@
   return false;
 }
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/types/clientsettings.h
+++ b/src/store/types/clientsettings.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// What a client may ask of the platform, and how long it waits.
 struct client_settings {
@@ -17,4 +17,4 @@
   milliseconds OpenFor{1000};
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/types/roster.h
+++ b/src/store/types/roster.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/types/targetstate.h"
+#include "store/types/targetstate.h"
 #include "world/types/instance.h"
 
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// The platform's lagging list of instances and targets.
 struct roster {
@@ -13,4 +13,4 @@
   std::vector<target_state> Targets;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/types/storedobject.h
+++ b/src/store/types/storedobject.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 using object_version = std::uint64_t; ///< 0: the object doesn't exist
 
@@ -14,4 +14,4 @@
   std::string Value;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/types/targetstate.h
+++ b/src/store/types/targetstate.h
@@ -2,7 +2,7 @@
 
 #include "world/types/ids.h"
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// What the platform says of a target; lagging.
 struct target_state {
@@ -10,4 +10,4 @@
   bool Leaving = false;
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
--- a/src/platform/types/watchreply.h
+++ b/src/store/types/watchreply.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "platform/types/storedobject.h"
+#include "store/types/storedobject.h"
 
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::store {
 
 /// What changed under a prefix since a revision.
 struct watch_reply {
@@ -12,4 +12,4 @@
   std::vector<stored_object> Changed; ///< deleted ones with version 0
 };
 
-} // namespace tarragon::platform
+} // namespace tarragon::store
