Leave time for the way back; long silence counts as loss

Change: the early margin is 20 ms at least; a target silent for long is down; a part without hope is given up; slots and the number of instances decide how much work in flight costs. Tests of routes, placement and the gateway, with replays of pauses, slow targets, lost shards and shedding. Ruled out: refusing part of the queries while targets shed: at the measured shares the same number would be served (sum only).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds RetryElsewhere{20};
 /// The way of the last answer back to its caller.
 constexpr milliseconds LongestWayBack{25};
-constexpr milliseconds ShortestEarlyMargin{12};
+constexpr milliseconds ShortestEarlyMargin{20};
 constexpr double ShareTolerance = 1e-9;
 
 auto numberIn(const caller_request &Request, const std::string &Name)
--- /dev/null
+++ b/src/gateway/tests/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE gateway
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/src/gateway/tests/scriptedpeer.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tarragon::gateway {
+
+/// Steps \p Loop until \p Done holds; false when it never does.
+auto runUntil(boost::asio::io_context &Loop, const std::function<bool()> &Done)
+    -> bool;
+
+/// A server that answers each request with bytes as told.
+class scripted_server {
+public:
+  /// What to do with one request.
+  struct reaction {
+    std::string Bytes;
+    bool Close = false; ///< in good order, after the bytes
+    bool Reset = false; ///< with a reset, after the bytes
+  };
+  using script = std::function<reaction(const std::string &Request)>;
+
+  scripted_server(boost::asio::io_context &Loop, script Script);
+
+  auto endpoint() const -> boost::asio::ip::tcp::endpoint;
+
+  /// Whole requests so far, as they came.
+  auto requests() const -> const std::vector<std::string> & { return Requests; }
+  /// Connections that the other side has ended.
+  auto endedByPeer() const -> int { return EndedByPeer; }
+  auto accepted() const -> int { return Accepted; }
+
+private:
+  struct connection;
+
+  auto accept() -> void;
+  auto read(const std::shared_ptr<connection> &Connection) -> void;
+  auto react(const std::shared_ptr<connection> &Connection) -> void;
+
+  boost::asio::io_context &Loop;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  script Script;
+  std::vector<std::string> Requests;
+  int EndedByPeer = 0;
+  int Accepted = 0;
+};
+
+/// A caller that sends bytes and collects what comes back.
+class scripted_caller {
+public:
+  scripted_caller(boost::asio::io_context &Loop,
+                  const boost::asio::ip::tcp::endpoint &Server);
+
+  auto send(const std::string &Bytes) -> void;
+  auto close() -> void;
+
+  auto received() const -> const std::string & { return *Received; }
+  auto ended() const -> bool { return *Ended; }
+
+private:
+  auto read() -> void;
+
+  std::shared_ptr<boost::asio::ip::tcp::socket> Socket;
+  std::shared_ptr<std::array<char, 4096>> Buffer;
+  std::shared_ptr<std::string> Received;
+  std::shared_ptr<bool> Ended;
+};
+
+} // namespace tarragon::gateway
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -15,7 +15,8 @@
 constexpr double EagerHedge = 0.9;
 constexpr double ReluctantHedge = 0.985;
 constexpr microseconds ShortestHedge{4000};
-constexpr milliseconds LookAgain{10}; ///< for a target with room
+constexpr milliseconds LookAgain{10};   ///< for a target with room
+constexpr milliseconds LookForLoss{25}; ///< of the targets asked
 
 } // namespace
 
@@ -30,7 +31,7 @@
   std::size_t Lost = 0;
   for (const part &Part : Parts) {
     Context.Budgets.of(Part.Service).addRequest(Now);
-    Lost += Context.Targets.lost(Part.Service, Now) ? 1 : 0;
+    Lost += lost(Part, Now) ? 1 : 0;
   }
   if (Parts.size() - Lost < Settings.LeastParts) {
     finish(plan_verdict::NotRun, Now, Actions);
@@ -166,6 +167,10 @@
   }
 }
 
+auto request_plan::lost(const part &Part, const time_point Now) const -> bool {
+  return Context.Targets.lost(Part.Service, Context.Latencies.typical(), Now);
+}
+
 auto request_plan::count(const time_point Now) const -> tally {
   tally Tally;
   for (const part &Part : Parts) {
@@ -173,9 +178,16 @@
       ++Tally.Answered;
       continue;
     }
-    const bool Out = std::any_of(Part.Attempts.begin(), Part.Attempts.end(),
-                                 [](const attempt &A) { return !A.End; });
-    const bool Lost = Context.Targets.lost(Part.Service, Now);
+    bool Out = false;
+    bool Hope = false;
+    for (const attempt &Attempt : Part.Attempts) {
+      if (Attempt.End)
+        continue;
+      Out = true;
+      Hope |= !Context.Targets.state(Attempt.Target)
+                   .hopeless(Context.Latencies.typical(), Now);
+    }
+    const bool Lost = (!Out || !Hope) && lost(Part, Now);
     if (!Out && (!Part.Waiting || Lost))
       continue;
     ++Tally.Open;
@@ -191,7 +203,7 @@
   const bool Enough = Tally.Answered >= Settings.LeastParts;
   if (Enough && (Tally.Open == Tally.Doomed || Now >= Settings.EarlyAt))
     return finish(plan_verdict::Answer, Now, Actions);
-  if (Tally.Answered + Tally.Open < Settings.LeastParts)
+  if (Tally.Answered + Tally.Open - Tally.Doomed < Settings.LeastParts)
     return giveUp(Now, Actions);
   if (Now >= Settings.Deadline)
     return finish(anyMayHaveRun() ? plan_verdict::TimedOut
@@ -234,6 +246,8 @@
       Wake = std::min(Wake, Now + LookAgain);
     else if (mayHedge(Part))
       Wake = std::min(Wake, std::max(Part.HedgeAt, Now));
+    else if (!Part.Answered && Parts.size() > 1)
+      Wake = std::min(Wake, Now + LookForLoss);
   }
 }
 
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -68,7 +68,7 @@
   struct tally {
     std::size_t Answered = 0;
     std::size_t Open = 0;   ///< may still be answered
-    std::size_t Doomed = 0; ///< open, but at targets that are down
+    std::size_t Doomed = 0; ///< open, but no target has hope
   };
 
   auto sendFirst(std::size_t Index, time_point Now, plan_actions &Actions)
@@ -79,6 +79,7 @@
             time_point Now, plan_actions &Actions) -> void;
   auto mayHedge(const part &Part) const -> bool;
   auto hedgeDelay(const part &Part, time_point Now) const -> microseconds;
+  auto lost(const part &Part, time_point Now) const -> bool;
   auto count(time_point Now) const -> tally;
   auto settle(time_point Now, plan_actions &Actions) -> void;
   auto finish(plan_verdict Verdict, time_point Now, plan_actions &Actions)
--- a/src/placement/targetset.cpp
+++ b/src/placement/targetset.cpp
@@ -31,10 +31,16 @@
     target_state &State = States[Change.Id];
     State = {};
     State.setColdUntil(Now + Entry->ColdFor);
-    State.setMostOutstanding(connectionShare(Entry->Service));
+    setShares(*Entry);
   }
 }
 
+auto target_set::setShares(const route::target_entry &Entry) -> void {
+  target_state &State = States[Entry.Id];
+  State.setMostOutstanding(connectionShare(Entry.Service));
+  State.setSlotShare(static_cast<double>(Instances) / std::max(1, Entry.Slots));
+}
+
 auto target_set::connectionShare(const std::string &Service) const -> int {
   const auto Known = MostOfService.find(Service);
   const int Most =
@@ -48,7 +54,7 @@
   Instances = std::max(1, NewInstances);
   for (auto &[Id, State] : States)
     if (const route::target_entry *Entry = Book.find(Id))
-      State.setMostOutstanding(connectionShare(Entry->Service));
+      setShares(*Entry);
 }
 
 auto target_set::choose(const std::string &Service,
@@ -64,7 +70,7 @@
     if (std::find(Tried.begin(), Tried.end(), Entry->Id) != Tried.end())
       continue;
     const target_state &State = States[Entry->Id];
-    if (State.blocked(Now))
+    if (State.blocked(Typical, Now))
       continue;
     double Cost = State.cost(Typical, Now);
     if (Entry->FailureDomain == OwnDomain)
@@ -79,14 +85,14 @@
   return Best;
 }
 
-auto target_set::lost(const std::string &Service, const time_point Now) const
-    -> bool {
+auto target_set::lost(const std::string &Service, const microseconds Typical,
+                      const time_point Now) const -> bool {
   const auto &Usable = Book.usable(Service);
-  return std::all_of(Usable.begin(), Usable.end(),
-                     [&](const route::target_entry *Entry) {
-                       const auto Known = States.find(Entry->Id);
-                       return Known != States.end() && Known->second.down(Now);
-                     });
+  return std::all_of(
+      Usable.begin(), Usable.end(), [&](const route::target_entry *Entry) {
+        const auto Known = States.find(Entry->Id);
+        return Known != States.end() && Known->second.down(Typical, Now);
+      });
 }
 
 } // namespace tarragon::placement
--- a/src/placement/targetset.h
+++ b/src/placement/targetset.h
@@ -35,7 +35,8 @@
       -> const route::target_entry *;
 
   /// Whether every target of \p Service is down, or there is none.
-  auto lost(const std::string &Service, time_point Now) const -> bool;
+  auto lost(const std::string &Service, microseconds Typical,
+            time_point Now) const -> bool;
 
   auto state(const std::string &Id) -> target_state & { return States[Id]; }
 
@@ -46,6 +47,8 @@
   auto connectionShare(const std::string &Service) const -> int;
 
 private:
+  auto setShares(const route::target_entry &Entry) -> void;
+
   std::string OwnDomain;
   route::target_book Book;
   std::unordered_map<std::string, target_state> States; ///< by target
--- a/src/placement/targetstate.cpp
+++ b/src/placement/targetstate.cpp
@@ -13,10 +13,12 @@
 constexpr double ColdSlowness = 1.6;
 constexpr microseconds LeastSilence{30000};
 constexpr int SilentTimes = 3; ///< the usual latency
+constexpr microseconds LongSilence{120000};
+constexpr int LongSilentTimes = 6; ///< the usual latency
 constexpr milliseconds FirstBlock{120};
 constexpr milliseconds LongestBlock{1500};
 constexpr int MostDoublings = 4;
-constexpr double RefusalWeight = 4;
+constexpr double RefusalWeight = 6;
 
 auto fade(const double Belief, const time_point Learned, const time_point Now)
     -> double {
@@ -92,28 +94,45 @@
   }
 }
 
+auto target_state::silentFor(const time_point Now) const -> microseconds {
+  if (Outstanding == 0)
+    return microseconds(0);
+  return std::chrono::duration_cast<microseconds>(Now - WaitingSince);
+}
+
+auto target_state::usual(const microseconds Typical, const int Times,
+                         const time_point Now) const -> microseconds {
+  return std::chrono::duration_cast<microseconds>(Typical * Times *
+                                                  std::max(1.0, slowness(Now)));
+}
+
 auto target_state::silent(const microseconds Typical,
                           const time_point Now) const -> bool {
-  if (Outstanding == 0)
-    return false;
-  const auto Usual = std::chrono::duration_cast<microseconds>(
-      Typical * SilentTimes * std::max(1.0, slowness(Now)));
-  return Now - WaitingSince > std::max(LeastSilence, Usual);
+  return silentFor(Now) >
+         std::max(LeastSilence, usual(Typical, SilentTimes, Now));
+}
+
+auto target_state::down(const microseconds Typical, const time_point Now) const
+    -> bool {
+  return Now < BlockedUntil || (FailStreak > 0 && Outstanding > 0) ||
+         silentFor(Now) >
+             std::max(LongSilence, usual(Typical, LongSilentTimes, Now));
 }
 
-auto target_state::blocked(const time_point Now) const -> bool {
-  return down(Now) || Outstanding >= MostOutstanding;
+auto target_state::hopeless(const microseconds Typical,
+                            const time_point Now) const -> bool {
+  return Now < BlockedUntil || silent(Typical, Now);
 }
 
-auto target_state::down(const time_point Now) const -> bool {
-  // One attempt at a time tells whether it is back.
-  return Now < BlockedUntil || (FailStreak > 0 && Outstanding > 0);
+auto target_state::blocked(const microseconds Typical,
+                           const time_point Now) const -> bool {
+  return down(Typical, Now) || Outstanding >= MostOutstanding;
 }
 
 auto target_state::cost(const microseconds Typical, const time_point Now) const
     -> double {
   const double Usual = static_cast<double>(Typical.count());
-  return Usual * slowness(Now) * (1 + Outstanding) +
+  return Usual * slowness(Now) * (1 + SlotShare * Outstanding) +
          Usual * RefusalWeight * refusals(Now);
 }
 
--- a/src/placement/targetstate.h
+++ b/src/placement/targetstate.h
@@ -18,6 +18,9 @@
   /// \p MostOutstanding is this instance's share of its connections.
   auto setMostOutstanding(int Most) -> void { MostOutstanding = Most; }
 
+  /// Work in flight fills \p Share of its slots: the others' is alike.
+  auto setSlotShare(double Share) -> void { SlotShare = Share; }
+
   /// It is slow until \p Until because it has just started.
   auto setColdUntil(time_point Until) -> void { ColdUntil = Until; }
 
@@ -31,11 +34,16 @@
   /// answered nothing meanwhile.
   auto silent(microseconds Typical, time_point Now) const -> bool;
 
-  /// No new work for now: it was unreachable, silent or has no room.
-  auto blocked(time_point Now) const -> bool;
+  /// No new work for now: it is down or has no room.
+  auto blocked(microseconds Typical, time_point Now) const -> bool;
+
+  /// Lately unreachable, or silent for long. One attempt at a time tells
+  /// whether it is back.
+  auto down(microseconds Typical, time_point Now) const -> bool;
 
-  /// Nothing is known against it but a lack of room.
-  auto down(time_point Now) const -> bool;
+  /// An attempt that is out has no more hope: it is silent or was lately
+  /// unreachable.
+  auto hopeless(microseconds Typical, time_point Now) const -> bool;
 
   /// What a request should expect to wait, for comparison between targets.
   auto cost(microseconds Typical, time_point Now) const -> double;
@@ -44,10 +52,14 @@
 
 private:
   auto fail(time_point Now) -> void;
+  auto silentFor(time_point Now) const -> microseconds;
+  auto usual(microseconds Typical, int Times, time_point Now) const
+      -> microseconds;
   auto slowness(time_point Now) const -> double;
   auto refusals(time_point Now) const -> double;
 
   int MostOutstanding = 4;
+  double SlotShare = 1;
   int Outstanding = 0;
   int FailStreak = 0;
   double Slowness = 1; ///< latency over the usual, smoothed
--- /dev/null
+++ b/src/placement/tests/loadreplay_tests.cpp
@@ -0,0 +1,103 @@
+#include "placement/tests/virtualtier.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+using tarragon::placement::virtual_tier;
+
+namespace {
+
+constexpr double Budget = 0.2;
+constexpr std::size_t Shards = 10;
+
+auto pausing(virtual_tier &Tier) -> void {
+  for (std::size_t Shard = 0; Shard < Shards; ++Shard)
+    for (std::size_t Replica = 0; Replica < 3; ++Replica) {
+      auto &Target = Tier.target_of(Shard, Replica);
+      Target.PauseEvery = 6s;
+      Target.PauseFor = 250ms;
+      Target.PausePhase =
+          std::chrono::milliseconds(613 * (3 * Shard + Replica) % 6000);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(loadreplay)
+
+// Load: each target pauses for 250 ms every 6 s, at its own time.
+BOOST_AUTO_TEST_CASE(pauses_stay_out_of_the_tail) {
+  virtual_tier Plain(Shards, Budget, 1);
+  pausing(Plain);
+  virtual_tier::load Load;
+  Load.Attempts = 1;
+  auto Before = Plain.run(Load);
+  virtual_tier Hedged(Shards, Budget, 1);
+  pausing(Hedged);
+  Load.Attempts = 2;
+  auto After = Hedged.run(Load);
+  BOOST_TEST_MESSAGE("p99 us " << Before.quantile(0.99).count() << " -> "
+                               << After.quantile(0.99).count());
+  BOOST_TEST(After.quantile(0.99) * 10 < Before.quantile(0.99) * 8);
+  BOOST_TEST(After.within(200ms) > 0.99);
+  BOOST_TEST(After.Partial * 50 < Load.Requests);
+  BOOST_TEST(static_cast<double>(After.Extra) <
+             Budget * Load.Requests * static_cast<double>(Shards));
+}
+
+// Load: one target of each third shard is eight times as slow for the run.
+BOOST_AUTO_TEST_CASE(slow_targets_are_left_alone) {
+  virtual_tier Tier(Shards, Budget, 2);
+  for (std::size_t Shard = 0; Shard < Shards; Shard += 3)
+    Tier.target_of(Shard, 0).Slowness = 8;
+  auto Outcome = Tier.run({});
+  BOOST_TEST(Outcome.quantile(0.99) < 150ms);
+  BOOST_TEST(Outcome.within(200ms) > 0.99);
+}
+
+// Load: all targets of one shard go dark for four seconds.
+BOOST_AUTO_TEST_CASE(a_lost_shard_costs_its_part_and_no_time) {
+  virtual_tier Tier(Shards, Budget, 3);
+  const auto SetDark = [&Tier](const bool Dark) {
+    for (std::size_t Replica = 0; Replica < 3; ++Replica)
+      Tier.target_of(4, Replica).Dark = Dark;
+  };
+  Tier.at(4s, [&] { SetDark(true); });
+  Tier.at(8s, [&] { SetDark(false); });
+  auto Outcome = Tier.run({});
+  BOOST_TEST(Outcome.Failed == 0);
+  BOOST_TEST(Outcome.Refused == 0);
+  BOOST_TEST(Outcome.quantile(0.99) < 200ms);
+  // About 570 queries come in that time.
+  BOOST_TEST(Outcome.Partial > 450);
+  BOOST_TEST(Outcome.Partial < 900);
+}
+
+// Load: two shards of ten are lost, of which an answer may lack one.
+BOOST_AUTO_TEST_CASE(what_cannot_be_answered_is_refused_at_once) {
+  virtual_tier Tier(Shards, Budget, 4);
+  Tier.at(2s, [&Tier] {
+    for (std::size_t Replica = 0; Replica < 3; ++Replica) {
+      Tier.target_of(2, Replica).Dark = true;
+      Tier.target_of(7, Replica).Dark = true;
+    }
+  });
+  virtual_tier::load Load;
+  Load.Requests = 1000;
+  auto Outcome = Tier.run(Load);
+  // About 714 queries come after the loss.
+  BOOST_TEST(Outcome.Refused > 500);
+}
+
+// Load: half of the targets shed half of what comes.
+BOOST_AUTO_TEST_CASE(shedding_targets_are_avoided) {
+  virtual_tier Tier(Shards, Budget, 5);
+  for (std::size_t Shard = 0; Shard < Shards; ++Shard)
+    for (std::size_t Replica = 0; Replica < 3; ++Replica)
+      if ((3 * Shard + Replica) % 2 == 0)
+        Tier.target_of(Shard, Replica).ShedShare = 0.5;
+  auto Outcome = Tier.run({});
+  BOOST_TEST(Outcome.Whole + Outcome.Partial > 1900);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/route/tests/weightedturns_tests.cpp
@@ -0,0 +1,45 @@
+#include "route/weightedturns.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cmath>
+
+using tarragon::route::route;
+using tarragon::route::weighted_turns;
+
+BOOST_AUTO_TEST_SUITE(weightedturns)
+
+BOOST_AUTO_TEST_CASE(each_share_holds_over_every_short_run) {
+  route Route;
+  Route.Name = "split";
+  Route.Services = {{"a", 70}, {"b", 25}, {"c", 5}};
+  weighted_turns Turns;
+  std::vector<double> Count(3, 0);
+  for (int Request = 1; Request <= 1000; ++Request) {
+    Count[Turns.next(Route)] += 1;
+    for (std::size_t Part = 0; Part < 3; ++Part)
+      BOOST_REQUIRE(
+          std::abs(Count[Part] - Request * Route.Services[Part].Weight / 100) <=
+          1.5);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_part_without_weight_gets_nothing) {
+  route Route;
+  Route.Services = {{"a", 0}, {"b", 1}};
+  weighted_turns Turns;
+  for (int Request = 0; Request < 100; ++Request)
+    BOOST_REQUIRE(Turns.next(Route) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(changed_weights_start_anew) {
+  route Route;
+  Route.Services = {{"a", 1}, {"b", 1}};
+  weighted_turns Turns;
+  Turns.next(Route);
+  Route.Services = {{"a", 0}, {"b", 1}};
+  for (int Request = 0; Request < 10; ++Request)
+    BOOST_TEST(Turns.next(Route) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
