Hedge by the faster three quarters; retries go before hedges; bounded log lines

Log lines go to stdout, never wait, are bounded by rate, and tell which parts an answer lacks and how each attempt ended.

--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -187,10 +187,11 @@
   if (Plan.finished() || Exchange.GivenUp)
     return;
   const attempt_end AttemptEnd = classify(End, Answer);
+  Exchange.End = AttemptEnd;
   Exchange.Answer = std::move(Answer);
   Gateway.metrics()
       .counter("tarragon_attempts_total",
-               {{"end", std::to_string(static_cast<int>(AttemptEnd))}})
+               {{"end", std::string(placement::name(AttemptEnd))}})
       .add();
   if (AttemptEnd == attempt_end::Broken)
     noteBroken(Exchange.Target);
@@ -273,9 +274,7 @@
     if (Origin.Route->scattered())
       return merged();
     for (const auto &[Key, Exchange] : Exchanges)
-      if (Exchange.Answer.Status >= 200 && Exchange.Answer.Status < 300 &&
-          classify(exchange_end::Complete, Exchange.Answer) ==
-              attempt_end::Answered)
+      if (Exchange.End == attempt_end::Answered)
         return passedOn(Exchange.Answer);
     break;
   case plan_verdict::TargetError:
@@ -307,6 +306,30 @@
   Gateway.release(shared_from_this());
 }
 
+auto active_request::missingParts() const -> std::string {
+  std::vector<bool> In(Plan.settings().Services.size());
+  for (const auto &[Key, Exchange] : Exchanges)
+    if (Exchange.End == attempt_end::Answered)
+      In[Key.Part] = true;
+  std::string Missing;
+  for (std::size_t Part = 0; Part < In.size(); ++Part)
+    if (!In[Part])
+      Missing += (Missing.empty() ? "" : ",") + Plan.settings().Services[Part];
+  return Missing;
+}
+
+auto active_request::attemptsText() const -> std::string {
+  std::string Text;
+  for (const auto &[Key, Exchange] : Exchanges) {
+    if (Exchange.End == attempt_end::Answered)
+      continue;
+    Text += (Text.empty() ? "" : " ") + std::to_string(Key.Part) + "." +
+            std::to_string(Key.Attempt) + ":" + Exchange.Target + "=" +
+            std::string(placement::name(Exchange.End));
+  }
+  return Text;
+}
+
 auto active_request::report(const placement::finish_plan &Finish,
                             const caller_answer &Answer) -> void {
   const auto Now = std::chrono::steady_clock::now();
@@ -319,15 +342,19 @@
   Metrics.summary("tarragon_request_seconds", {{"kind", Kind}})
       .observe(std::chrono::duration_cast<microseconds>(
           Now - Origin.Request.ReceivedAt));
-  if (Finish.Verdict == plan_verdict::Answer)
+  const std::string Missing = missingParts();
+  if (Finish.Verdict == plan_verdict::Answer && Missing.empty())
     return;
-  log::write(log::level::Info, log::part::Query, "request ended unserved",
+  log::write(log::level::Info, log::part::Query,
+             Finish.Verdict == plan_verdict::Answer ? "answer lacks parts"
+                                                    : "request ended unserved",
              {{"request", Id},
               {"route", Origin.Route->Name},
               {"version", std::to_string(Origin.Table->set().Version)},
               {"verdict", Verdict},
               {"status", std::to_string(Answer.Status)},
-              {"attempts", std::to_string(Exchanges.size())},
+              {"attempts", attemptsText()},
+              {"missing", Missing},
               {"ms", millisecondsSince(Origin.Request.ReceivedAt, Now)}});
 }
 
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -34,6 +34,7 @@
     std::shared_ptr<http_connection> Connection;
     std::string Target;
     exchange_answer Answer;
+    placement::attempt_end End = placement::attempt_end::Abandoned;
     bool GivenUp = false; ///< its answer no longer counts
   };
 
@@ -53,6 +54,8 @@
   auto requestBytes(const route::target_entry &Target, time_point Now) const
       -> std::string;
   auto noteBroken(const std::string &Target) -> void;
+  auto missingParts() const -> std::string;
+  auto attemptsText() const -> std::string;
   auto report(const placement::finish_plan &Finish, const caller_answer &Answer)
       -> void;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -148,8 +148,8 @@
 
 auto gateway::latencies(const route::route &Route)
     -> placement::latency_model & {
-  // A third of the objective is where extra attempts still help.
-  return Latencies.try_emplace(Route.Name, Route.Objective / 3).first->second;
+  // A quarter of the objective is where extra attempts still help.
+  return Latencies.try_emplace(Route.Name, Route.Objective / 4).first->second;
 }
 
 auto gateway::waitOf(const caller_request &Request,
--- a/src/global/log.cpp
+++ b/src/global/log.cpp
@@ -1,16 +1,21 @@
 #include "global/log.h"
 
+#include "global/internal/linerate.h"
+#include "global/internal/outputsink.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/expressions/formatters/stream.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/trivial.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 #include <json/json.h>
 
 #include <atomic>
 #include <chrono>
-#include <iostream>
+#include <limits>
+#include <mutex>
 
 namespace tarragon::log {
 
@@ -20,6 +25,36 @@
 
 std::atomic<format> CurrentForm{format::Text};
 
+std::mutex RateLock; // rank 95: a leaf
+internal::line_rate Rate{std::numeric_limits<std::size_t>::max()};
+std::atomic<std::uint64_t> BeyondRate{0};
+
+auto sink() -> internal::output_sink & {
+  static const auto Backend = boost::make_shared<internal::output_sink>();
+  static const auto Frontend = [] {
+    namespace sinks = boost::log::sinks;
+    auto Made =
+        boost::make_shared<sinks::synchronous_sink<internal::output_sink>>(
+            Backend);
+    Made->set_formatter(boost::log::expressions::stream
+                        << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(Made);
+    return Made;
+  }();
+  return *Backend;
+}
+
+/// How many lines were refused before this one, or nothing if it is, too.
+auto takeRoom(const level Level) -> std::optional<std::uint64_t> {
+  const std::lock_guard Lock(RateLock);
+  const bool Urgent = Level == level::Warning || Level == level::Error;
+  if (!Rate.take(std::chrono::steady_clock::now()) && !Urgent) {
+    BeyondRate.fetch_add(1);
+    return std::nullopt;
+  }
+  return Rate.takeRefused();
+}
+
 auto severity(const level Level) -> trivial::severity_level {
   switch (Level) {
   case level::Debug:
@@ -109,12 +144,17 @@
 
 auto setUp(const level Lowest, const format Form) -> void {
   CurrentForm = Form;
-  static const auto Sink = boost::log::add_console_log(
-      std::clog, boost::log::keywords::format = "%Message%",
-      boost::log::keywords::auto_flush = true);
+  sink();
   boost::log::core::get()->set_filter(trivial::severity >= severity(Lowest));
 }
 
+auto setRate(const std::size_t Lines) -> void {
+  const std::lock_guard Lock(RateLock);
+  Rate = internal::line_rate(Lines);
+}
+
+auto dropped() -> std::uint64_t { return BeyondRate.load() + sink().dropped(); }
+
 auto write(const level Level, const part Part, const std::string_view Sentence,
            const std::initializer_list<field> Fields) -> void {
   static boost::log::sources::severity_logger_mt<trivial::severity_level>
@@ -124,6 +164,12 @@
       Logger.open_record(boost::log::keywords::severity = severity(Level));
   if (!Record)
     return;
+  const auto Refused = takeRoom(Level);
+  if (!Refused)
+    return;
+  if (*Refused > 0)
+    write(level::Warning, part::Global, "lines were dropped",
+          {{"count", std::to_string(*Refused)}});
   const bool Json = CurrentForm.load() == format::Json;
   boost::log::record_ostream Stream(Record);
   Stream << (Json ? jsonLine(Level, Part, Sentence, Fields)
--- a/src/placement/latencymodel.cpp
+++ b/src/placement/latencymodel.cpp
@@ -38,7 +38,7 @@
 
 auto latency_model::quantile(const double Share) const -> microseconds {
   if (Total < FewestAttempts)
-    return Share > 0.75 ? microseconds(Prior) : microseconds(Prior) / 2;
+    return Share > 0.5 ? microseconds(Prior) : microseconds(Prior) / 2;
   double Left = Share * Total;
   for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket) {
     Left -= Counts[Bucket];
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-/// Hedges wait for this share of attempts, and for more when the budget is
-/// nearly spent.
-constexpr double EagerHedge = 0.9;
-constexpr double ReluctantHedge = 0.985;
+/// A part is late beyond so many times the latency of the faster three
+/// quarters, and later still when the budget is nearly spent.
+constexpr double FasterShare = 0.75;
+constexpr double EagerHedge = 1.4;
+constexpr double ReluctantHedge = 2.8;
 constexpr microseconds ShortestHedge{4000};
 constexpr milliseconds LookAgain{10};   ///< for a target with room
 constexpr milliseconds LookForLoss{25}; ///< of the targets asked
@@ -86,8 +87,10 @@
     -> microseconds {
   const double Left =
       Context.Budgets.of(Part.Service).left(extra_purpose::Hedge, Now);
-  const double Share = ReluctantHedge - (ReluctantHedge - EagerHedge) * Left;
-  return std::max(ShortestHedge, Context.Latencies.quantile(Share));
+  const double Times = ReluctantHedge - (ReluctantHedge - EagerHedge) * Left;
+  const auto Late = std::chrono::duration_cast<microseconds>(
+      Context.Latencies.quantile(FasterShare) * Times);
+  return std::max(ShortestHedge, Late);
 }
 
 auto request_plan::mayHedge(const part &Part) const -> bool {
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -46,6 +46,7 @@
   auto abandon(time_point Now) -> plan_actions;
 
   auto nextWake() const -> time_point { return Wake; }
+  auto settings() const -> const plan_settings & { return Settings; }
   auto finished() const -> bool { return Finished; }
 
   /// Attempts beyond the first of each part.
--- a/src/placement/retrybudget.cpp
+++ b/src/placement/retrybudget.cpp
@@ -8,7 +8,7 @@
 
 /// What is kept back for arrivals that other instances count differently.
 constexpr double SafeShare = 0.9;
-/// The part of the allowance that hedges leave to retries.
+/// The least part of the allowance that hedges leave to retries.
 constexpr double KeptForRetries = 0.25;
 /// Windows until a new instance has its whole slack.
 constexpr int WindowsToGrow = 2;
@@ -29,7 +29,7 @@
   const std::int64_t Number = sliceNumber(Now);
   slice &Slice = Ring[static_cast<std::size_t>(Number) % Ring.size()];
   if (Slice.Number != Number)
-    Slice = {Number, 0, 0};
+    Slice = {Number, 0, 0, 0};
   return Slice;
 }
 
@@ -42,6 +42,7 @@
       continue;
     Sums.Requests += Slice.Requests;
     Sums.Extra += Slice.Extra;
+    Sums.RetriesWanted += Slice.RetriesWanted;
   }
   return Sums;
 }
@@ -53,7 +54,9 @@
   const double Grown = std::clamp(Age / WindowsToGrow, 0.1, 1.0);
   const double Slack = Limits.Slack * Grown / std::max(1, Limits.Instances);
   const double All = SafeShare * (Limits.Ratio * Sums.Requests + Slack);
-  return Purpose == extra_purpose::Hedge ? All * (1 - KeptForRetries) : All;
+  if (Purpose == extra_purpose::Retry)
+    return All;
+  return All - std::max(All * KeptForRetries, Sums.RetriesWanted);
 }
 
 auto retry_budget::addRequest(const time_point Now) -> void {
@@ -62,6 +65,8 @@
 
 auto retry_budget::take(const extra_purpose Purpose, const time_point Now)
     -> bool {
+  if (Purpose == extra_purpose::Retry)
+    current(Now).RetriesWanted += 1;
   const sums Sums = sum(Now);
   if (Sums.Extra + 1 > allowance(Purpose, Sums, Now))
     return false;
--- a/src/placement/retrybudget.h
+++ b/src/placement/retrybudget.h
@@ -25,9 +25,11 @@
 
 /// This instance's part of the extra attempts at one service.
 ///
-/// Any span of a window's length counts, and a restarted instance has
-/// forgotten what it spent: the slack of a young one grows with its age. Not
-/// locked.
+/// Hedges get what retries lately left: under the load "targets shed part of
+/// their requests" a retry brings a part that would be missing, a hedge only
+/// an earlier one. Any span of a window's length counts, and a restarted
+/// instance has forgotten what it spent: the slack of a young one grows with
+/// its age. Not locked.
 class retry_budget {
 public:
   retry_budget(retry_limits Limits, time_point BornAt);
@@ -49,10 +51,12 @@
     std::int64_t Number = -1;
     double Requests = 0;
     double Extra = 0;
+    double RetriesWanted = 0; ///< denied ones too
   };
   struct sums {
     double Requests = 0;
     double Extra = 0;
+    double RetriesWanted = 0;
   };
 
   auto current(time_point Now) -> slice &;
--- a/src/placement/targetstate.cpp
+++ b/src/placement/targetstate.cpp
@@ -132,7 +132,9 @@
 auto target_state::cost(const microseconds Typical, const time_point Now) const
     -> double {
   const double Usual = static_cast<double>(Typical.count());
-  return Usual * slowness(Now) * (1 + SlotShare * Outstanding) +
+  const double Waited = static_cast<double>(silentFor(Now).count());
+  return std::max(Usual * slowness(Now), Waited) *
+             (1 + SlotShare * Outstanding) +
          Usual * RefusalWeight * refusals(Now);
 }
 
--- a/src/placement/tests/decisions_tests.cpp
+++ b/src/placement/tests/decisions_tests.cpp
@@ -73,6 +73,14 @@
   BOOST_TEST(Budget.take(extra_purpose::Retry, Start));
 }
 
+BOOST_AUTO_TEST_CASE(hedges_get_nothing_while_retries_need_it_all) {
+  retry_budget Budget({0, 100, milliseconds(10000), 1}, Start - 1min);
+  for (int Count = 0; Count < 200; ++Count)
+    Budget.take(extra_purpose::Retry, Start);
+  BOOST_TEST(!Budget.take(extra_purpose::Hedge, Start + 9s));
+  BOOST_TEST(Budget.take(extra_purpose::Hedge, Start + 11s));
+}
+
 BOOST_AUTO_TEST_CASE(a_young_instance_has_little_slack) {
   retry_budget Young({0, 100, milliseconds(10000), 1}, Start);
   int Taken = 0;
--- a/src/placement/types/attemptend.h
+++ b/src/placement/types/attemptend.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 namespace tarragon::placement {
 
 /// How one attempt at a target ended, and what that says of its run.
@@ -29,4 +31,25 @@
   return true;
 }
 
+/// The name of \p End in logs and metrics.
+constexpr auto name(const attempt_end End) -> std::string_view {
+  switch (End) {
+  case attempt_end::Answered:
+    return "answered";
+  case attempt_end::Failed:
+    return "failed";
+  case attempt_end::Shed:
+    return "shed";
+  case attempt_end::Misdirected:
+    return "misdirected";
+  case attempt_end::Unreachable:
+    return "unreachable";
+  case attempt_end::Broken:
+    return "broken";
+  case attempt_end::Abandoned:
+    return "abandoned";
+  }
+  return "abandoned";
+}
+
 } // namespace tarragon::placement
