--- a/src/config/configacceptance.h
+++ b/src/config/configacceptance.h
@@ -9,8 +9,8 @@
 #include "config/types/acceptedconfig.h"
 #include "config/types/applyoutcome.h"
 #include "config/types/applyrequest.h"
-#include "global/hash.h"
 #include "global/backoff.h"
+#include "global/hash.h"
 #include "store/iobjectstore.h"
 
 #include <cstddef>
--- a/src/config/tests/acceptance_tests.cpp
+++ b/src/config/tests/acceptance_tests.cpp
@@ -33,8 +33,7 @@
 
 /// Injects the faults into the writes of the head, in order.
 auto headFaults(std::deque<store_fault> Faults) -> fake_store::fault_script {
-  return [Faults](const store::call_kind Kind,
-                  const std::string &Key) mutable {
+  return [Faults](const store::call_kind Kind, const std::string &Key) mutable {
     if (Kind != store::call_kind::Put || Key != HeadKey || Faults.empty())
       return store_fault::None;
     const store_fault Next = Faults.front();
--- a/src/entry/configrunner.cpp
+++ b/src/entry/configrunner.cpp
@@ -1,10 +1,10 @@
 #include "entry/configrunner.h"
 
 #include "config/configacceptance.h"
+#include "global/backoff.h"
 #include "global/hash.h"
 #include "global/json.h"
 #include "global/log.h"
-#include "global/backoff.h"
 
 #include <json/json.h>
 
--- a/src/entry/configrunner.h
+++ b/src/entry/configrunner.h
@@ -4,8 +4,8 @@
 #include "config/types/applyoutcome.h"
 #include "config/types/applyrequest.h"
 #include "entry/types/entrysettings.h"
-#include "store/platformclient.h"
 #include "query/types/pinnedsnapshot.h"
+#include "store/platformclient.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -229,10 +229,11 @@
 auto fleet_link::readyPeers() const -> std::vector<instance> {
   std::vector<instance> Peers;
   for (instance &Member : Table.members()) {
+    // One not heard from directly yet is taken to serve: it soon does.
     const auto Digest = Digests.find(Member.Id);
-    const bool IsReady = Member.State == instance_state::Live &&
-                         Digest != Digests.end() && Digest->second.Ready;
-    if (IsReady && Member.Id != Settings.Self.Id)
+    const bool IsReady = Digest == Digests.end() || Digest->second.Ready;
+    if (IsReady && Member.State == instance_state::Live &&
+        Member.Id != Settings.Self.Id)
       Peers.push_back(std::move(Member));
   }
   return Peers;
@@ -240,8 +241,12 @@
 
 auto fleet_link::mustWatch() const -> bool {
   std::vector<watch_duty::peer> Peers;
-  for (const instance &Member : readyPeers())
-    Peers.push_back({Member.Id, Digests.at(Member.Id).SourceSilence});
+  for (const instance &Member : readyPeers()) {
+    const auto Digest = Digests.find(Member.Id);
+    Peers.push_back({Member.Id, Digest == Digests.end()
+                                    ? watch_duty::LongestSilence
+                                    : Digest->second.SourceSilence});
+  }
   return Duty.mustWatch(Peers);
 }
 
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -57,7 +57,8 @@
 
   auto leave() -> void;
 
-  /// Live peers that told they serve callers; without this instance.
+  /// Live peers, but for those that told they don't serve callers; without
+  /// this instance.
   auto readyPeers() const -> std::vector<instance>;
 
   /// The most instances seen alive at once, this one included.
--- /dev/null
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -0,0 +1,129 @@
+#include "fleet/fleetlink.h"
+#include "gateway/callersession.h"
+#include "gateway/httpserver.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <vector>
+
+using namespace std::chrono_literals;
+using namespace tarragon;
+using tarragon::fleet::document_mark;
+using tarragon::fleet::fleet_link;
+using tarragon::fleet::fleet_settings;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Only a hang takes so long.
+constexpr std::chrono::seconds HangTime{30};
+
+/// One instance on a loopback address of its own.
+struct member {
+  member(asio::io_context &Loop, const std::size_t Number,
+         const std::uint16_t Port, const std::vector<std::string> &Seeds)
+      : Ip("127.0.1." + std::to_string(Number + 1)),
+        Server(Loop,
+               [this](const auto &Session, const auto &Request) {
+                 Link.onRequest(Session, Request);
+               }),
+        Link(Loop, settings(Number, Port, Seeds),
+             {[this](const std::string &) { return Document; },
+              [this](const std::string &Name, const document_mark Mark,
+                     const std::string &Body) {
+                Document = Body;
+                Link.setMark(Name, Mark);
+              },
+              [] {}}) {
+    BOOST_REQUIRE(
+        Server.listen({asio::ip::make_address(Ip), std::uint16_t(Port + 1)}));
+    BOOST_REQUIRE(Link.start());
+    Link.setReady(true);
+  }
+
+  auto settings(const std::size_t Number, const std::uint16_t Port,
+                const std::vector<std::string> &Seeds) const -> fleet_settings {
+    fleet_settings Settings;
+    Settings.Self.Id = "i" + std::to_string(Number);
+    Settings.Self.PeerAddress = Ip + ":" + std::to_string(Port);
+    Settings.Self.CallerAddress = Ip + ":80";
+    Settings.Self.Incarnation = 1;
+    Settings.DocumentPort = std::uint16_t(Port + 1);
+    Settings.SeedIps = Seeds;
+    return Settings;
+  }
+
+  std::string Ip;
+  std::string Document;
+  gateway::http_server Server;
+  fleet_link Link;
+};
+
+struct fleet_case {
+  explicit fleet_case(const std::size_t Count) {
+    asio::ip::tcp::acceptor Probe(Loop, {asio::ip::address_v4::loopback(), 0});
+    const auto Port = Probe.local_endpoint().port();
+    const std::vector<std::string> Seeds{"127.0.1.1", "127.0.1.2", "127.0.1.3"};
+    for (std::size_t Number = 0; Number < Count; ++Number)
+      Members.push_back(std::make_unique<member>(Loop, Number, Port, Seeds));
+  }
+
+  template <class Predicate> auto runUntil(Predicate Done) -> bool {
+    const auto GiveUp = std::chrono::steady_clock::now() + HangTime;
+    while (!Done()) {
+      if (std::chrono::steady_clock::now() > GiveUp)
+        return false;
+      Loop.run_one_for(20ms);
+    }
+    return true;
+  }
+
+  auto allKnow(const std::size_t Peers) const -> bool {
+    for (const auto &Member : Members)
+      if (Member->Link.readyPeers().size() != Peers)
+        return false;
+    return true;
+  }
+
+  asio::io_context Loop{1};
+  std::vector<std::unique_ptr<member>> Members;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleetlink)
+
+BOOST_AUTO_TEST_CASE(a_change_reaches_all_from_the_one_that_heard) {
+  fleet_case Case(5);
+  BOOST_REQUIRE(Case.runUntil([&] { return Case.allKnow(4); }));
+  Case.Members[3]->Document = "new";
+  Case.Members[3]->Link.setMark("routes", {12, 10});
+  BOOST_TEST(Case.runUntil([&] {
+    for (const auto &Member : Case.Members)
+      if (Member->Document != "new" || Member->Link.mark("routes").AsOf != 12)
+        return false;
+    return true;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_leaves_is_named_no_more) {
+  fleet_case Case(4);
+  BOOST_REQUIRE(Case.runUntil([&] { return Case.allKnow(3); }));
+  Case.Members[1]->Link.leave();
+  BOOST_TEST(Case.runUntil([&] {
+    return Case.Members[0]->Link.readyPeers().size() == 2 &&
+           Case.Members[2]->Link.readyPeers().size() == 2;
+  }));
+}
+
+// Load: a whole grown deployment starts at the same moment.
+BOOST_AUTO_TEST_CASE(seventy_one_join_at_once) {
+  fleet_case Case(71);
+  BOOST_TEST(Case.runUntil([&] { return Case.allKnow(70); }));
+  BOOST_TEST(Case.Members[5]->Link.instancesSeen() == 71);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/fleet/tests/watchduty_tests.cpp
@@ -0,0 +1,86 @@
+#include "fleet/fleetcodec.h"
+#include "fleet/watchduty.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace std::chrono_literals;
+using namespace tarragon;
+using namespace tarragon::fleet;
+
+namespace {
+
+/// How many of \p Count instances watch when those below \p Answered are
+/// answered by the source.
+auto watchers(const std::size_t Count, const std::size_t Answered)
+    -> std::size_t {
+  std::size_t Watching = 0;
+  for (std::size_t Own = 0; Own < Count; ++Own) {
+    std::vector<watch_duty::peer> Peers;
+    for (std::size_t Peer = 0; Peer < Count; ++Peer)
+      if (Peer != Own)
+        Peers.push_back({"i" + std::to_string(Peer),
+                         Peer < Answered ? 100ms : milliseconds(1h)});
+    Watching += watch_duty("i" + std::to_string(Own)).mustWatch(Peers) ? 1 : 0;
+  }
+  return Watching;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(watchduty)
+
+BOOST_AUTO_TEST_CASE(a_handful_watches_whatever_the_number_of_instances) {
+  for (const std::size_t Count : {6, 90, 900})
+    BOOST_TEST(watchers(Count, Count) == watch_duty::Watchers);
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_does_not_make_all_of_them_call) {
+  BOOST_TEST(watchers(900, 0) == watch_duty::Reserves);
+  BOOST_TEST(watchers(6, 0) == 6);
+}
+
+BOOST_AUTO_TEST_CASE(one_alone_watches) {
+  BOOST_TEST(watch_duty("i").mustWatch({}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(fleetcodec)
+
+BOOST_AUTO_TEST_CASE(a_datagram_comes_back_as_it_was) {
+  fleet_datagram Datagram;
+  Datagram.Gossip.From.Id = "i1";
+  Datagram.Gossip.Sequence = 9;
+  Datagram.Digest.Documents["routes"] = {12, 7};
+  Datagram.Digest.SourceSilence = 34ms;
+  Datagram.Digest.Ready = true;
+  const auto Read = readDatagram(writeDatagram(Datagram));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Gossip.From.Id == "i1");
+  BOOST_TEST(Read->Gossip.Sequence == 9);
+  BOOST_TEST(Read->Digest.Documents.at("routes").AsOf == 12);
+  BOOST_TEST(Read->Digest.Documents.at("routes").Changed == 7);
+  BOOST_TEST(Read->Digest.SourceSilence.count() == 34);
+  BOOST_TEST(Read->Digest.Ready);
+}
+
+BOOST_AUTO_TEST_CASE(foreign_bytes_are_no_datagram_and_no_crash) {
+  std::mt19937_64 Random(11);
+  fleet_datagram Datagram;
+  Datagram.Gossip.From.Id = "i1";
+  Datagram.Digest.Documents["routes"] = {12, 7};
+  const std::string Whole = writeDatagram(Datagram);
+  for (int Round = 0; Round < 3000; ++Round) {
+    std::string Text = Whole;
+    for (int Change = 0; Change < 4; ++Change)
+      Text[Random() % Text.size()] = static_cast<char>(Random());
+    readDatagram(Text);
+    readDatagram(Text.substr(0, Random() % Text.size()));
+  }
+  BOOST_TEST(!readDatagram("[]").has_value());
+  BOOST_TEST(!readDatagram("").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,6 +62,7 @@
       Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
       SweepTimer(NewLoop) {
   Budgets.setLimits(Settings.Retries);
+  Targets.setConnectionLimits({}, Settings.Retries.Instances);
   sweep();
 }
 
@@ -104,13 +105,24 @@
   for (const route::target_book::change &Change : Changes) {
     if (!Change.Usable || Change.Reborn)
       Pools.erase(Change.Id);
-    log::write(log::level::Info, log::part::Membership,
-               Change.Usable ? "target may get work" : "target gets no work",
-               {{"target", Change.Id}});
   }
+  reportTargets(Changes);
   warmPools();
 }
 
+auto gateway::reportTargets(const route::target_book::changes &Changes)
+    -> void {
+  std::string Usable;
+  std::string Left;
+  for (const route::target_book::change &Change : Changes) {
+    std::string &Ids = Change.Usable ? Usable : Left;
+    Ids += (Ids.empty() ? "" : ",") + Change.Id;
+  }
+  if (!Changes.empty())
+    log::write(log::level::Info, log::part::Membership, "targets changed",
+               {{"get_work", Usable}, {"get_none", Left}});
+}
+
 auto gateway::warmPools() -> void {
   if (!Table)
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -76,6 +76,7 @@
   auto endsTooSoon(const route::route &Route, time_point Now) -> bool;
   auto sweep() -> void;
   auto warmPools() -> void;
+  auto reportTargets(const route::target_book::changes &Changes) -> void;
 
   boost::asio::io_context &Loop;
   gateway_settings Settings;
--- a/src/global/log.cpp
+++ b/src/global/log.cpp
@@ -24,6 +24,7 @@
 namespace trivial = boost::log::trivial;
 
 std::atomic<format> CurrentForm{format::Text};
+std::atomic<level> LowestLevel{level::Debug};
 
 std::mutex RateLock; // rank 95: a leaf
 internal::line_rate Rate{std::numeric_limits<std::size_t>::max()};
@@ -48,7 +49,7 @@
 auto takeRoom(const level Level) -> std::optional<std::uint64_t> {
   const std::lock_guard Lock(RateLock);
   const bool Urgent = Level == level::Warning || Level == level::Error;
-  if (!Rate.take(std::chrono::steady_clock::now()) && !Urgent) {
+  if (!Urgent && !Rate.take(std::chrono::steady_clock::now())) {
     BeyondRate.fetch_add(1);
     return std::nullopt;
   }
@@ -112,6 +113,29 @@
   return Json::writeString(Builder, Object);
 }
 
+using logger_type =
+    boost::log::sources::severity_logger_mt<trivial::severity_level>;
+
+auto logger() -> logger_type & {
+  static logger_type Logger;
+  return Logger;
+}
+
+/// Writes a line whatever the rate.
+auto emit(const level Level, const part Part, const std::string_view Sentence,
+          const std::initializer_list<field> Fields) -> void {
+  auto Record =
+      logger().open_record(boost::log::keywords::severity = severity(Level));
+  if (!Record)
+    return;
+  const bool Json = CurrentForm.load() == format::Json;
+  boost::log::record_ostream Stream(Record);
+  Stream << (Json ? jsonLine(Level, Part, Sentence, Fields)
+                  : textLine(Level, Part, Sentence, Fields));
+  Stream.flush();
+  logger().push_record(std::move(Record));
+}
+
 } // namespace
 
 auto prefix(const part Part) -> std::string_view {
@@ -144,8 +168,8 @@
 
 auto setUp(const level Lowest, const format Form) -> void {
   CurrentForm = Form;
+  LowestLevel = Lowest;
   sink();
-  boost::log::core::get()->set_filter(trivial::severity >= severity(Lowest));
 }
 
 auto setRate(const std::size_t Lines) -> void {
@@ -157,25 +181,16 @@
 
 auto write(const level Level, const part Part, const std::string_view Sentence,
            const std::initializer_list<field> Fields) -> void {
-  static boost::log::sources::severity_logger_mt<trivial::severity_level>
-      Logger;
-  // Filters first, so that a suppressed line costs no formatting.
-  auto Record =
-      Logger.open_record(boost::log::keywords::severity = severity(Level));
-  if (!Record)
+  // Filters first, so that a suppressed line costs no room and no formatting.
+  if (Level < LowestLevel.load())
     return;
   const auto Refused = takeRoom(Level);
   if (!Refused)
     return;
   if (*Refused > 0)
-    write(level::Warning, part::Global, "lines were dropped",
-          {{"count", std::to_string(*Refused)}});
-  const bool Json = CurrentForm.load() == format::Json;
-  boost::log::record_ostream Stream(Record);
-  Stream << (Json ? jsonLine(Level, Part, Sentence, Fields)
-                  : textLine(Level, Part, Sentence, Fields));
-  Stream.flush();
-  Logger.push_record(std::move(Record));
+    emit(level::Warning, part::Global, "lines were dropped",
+         {{"count", std::to_string(*Refused)}});
+  emit(Level, Part, Sentence, Fields);
 }
 
 } // namespace tarragon::log
--- a/src/global/tests/global_tests.cpp
+++ b/src/global/tests/global_tests.cpp
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "global/hash.h"
+#include "global/internal/linerate.h"
+#include "global/log.h"
 #include "global/resultcode.h"
 
 #include <fstream>
@@ -53,3 +55,32 @@
   BOOST_TEST(tarragon::hash64("a") != tarragon::hash64("a", 1));
   BOOST_TEST(tarragon::contentHash("x").size() == 32U);
 }
+
+BOOST_AUTO_TEST_SUITE(logging)
+
+// A warning beyond the rate once told of dropped lines by way of itself,
+// without end.
+BOOST_AUTO_TEST_CASE(a_burst_of_lines_is_bounded_and_counted) {
+  tarragon::log::setUp(tarragon::log::level::Info, tarragon::log::format::Json);
+  tarragon::log::setRate(5);
+  const auto Before = tarragon::log::dropped();
+  for (int Line = 0; Line < 100; ++Line)
+    tarragon::log::write(tarragon::log::level::Info, tarragon::log::part::Tool,
+                         "one of many");
+  BOOST_TEST(tarragon::log::dropped() - Before >= 90);
+  for (int Line = 0; Line < 3; ++Line)
+    tarragon::log::write(tarragon::log::level::Warning,
+                         tarragon::log::part::Tool, "urgent");
+}
+
+BOOST_AUTO_TEST_CASE(room_comes_back_with_time) {
+  tarragon::log::internal::line_rate Rate(10);
+  const tarragon::time_point Start{std::chrono::hours(1)};
+  for (int Line = 0; Line < 10; ++Line)
+    BOOST_TEST(Rate.take(Start));
+  BOOST_TEST(!Rate.take(Start));
+  BOOST_TEST(Rate.take(Start + std::chrono::milliseconds(150)));
+  BOOST_TEST(Rate.takeRefused() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/placement/targetset.cpp
+++ b/src/placement/targetset.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double OwnDomainDiscount = 0.9;
+constexpr double OwnDomainDiscount = 0.7;
 constexpr double SilentPenalty = 20;
 /// Connections left to others: hand-overs and attempts that are being closed.
 constexpr double UsableConnections = 0.8;
