Name the strongest instances to callers; keep the rest in reserve

Change: instances tell their capacity; a pure decision names the strongest, spread over failure domains, as many as the load needs and six at least. Only these open connections ahead and share the budgets; the reserve keeps small shares. Peers pass on changes of documents alone; the strongest watch the store; one probe every 0.4 s; news goes to 16 random members.

--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -16,6 +16,7 @@
     Value["documents"][Name].append(Json::UInt64{Mark.Changed});
   }
   Value["silence_ms"] = Json::Int64{Digest.SourceSilence.count()};
+  Value["load"] = Digest.Load;
   Value["ready"] = Digest.Ready;
   return Value;
 }
@@ -28,6 +29,7 @@
       Digest.Documents[Name] = {Documents[Name][0].asUInt64(),
                                 Documents[Name][1].asUInt64()};
   Digest.SourceSilence = milliseconds(Value["silence_ms"].asInt64());
+  Digest.Load = Value["load"].asDouble();
   Digest.Ready = Value["ready"].asBool();
   return Digest;
 }
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleetlink.h"
 
+#include "fleet/servingset.h"
 #include "gateway/callersession.h"
 #include "gateway/httpconnection.h"
 #include "global/hash.h"
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <ctime>
 
 namespace tarragon::fleet {
 
@@ -22,14 +24,18 @@
 constexpr std::string_view AsOfHeader = "As-Of";
 constexpr std::string_view ChangedHeader = "Changed";
 constexpr std::size_t MostToldAtOnce = 16;
+constexpr milliseconds LoadPeriod{1000};
+constexpr double LoadSmoothing = 0.5;
+constexpr std::string_view SinceParameter = "?since=";
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
 auto tableSettings() -> membership::membership_settings {
   membership::membership_settings Table;
-  Table.ProbePeriod = milliseconds(250);
+  Table.ProbePeriod = milliseconds(400);
   Table.ProbeTimeout = milliseconds(200);
   Table.SuspicionTime = milliseconds(800);
+  Table.ProbesPerPeriod = 1;
   Table.UpdatesPerMessage = 8;
   return Table;
 }
@@ -70,8 +76,10 @@
     : Loop(NewLoop), Settings(std::move(NewSettings)),
       Handlers(std::move(NewHandlers)),
       Table(Settings.Self, tableSettings(), hash64(Settings.Self.Id), now()),
-      Duty(Settings.Self.Id), Socket(NewLoop), WakeTimer(NewLoop),
-      GreetTimer(NewLoop), SourceHeardAt(now() - std::chrono::hours(1)) {}
+      Duty(Settings.Self.Id, Settings.Self.Capacity), Socket(NewLoop),
+      WakeTimer(NewLoop), GreetTimer(NewLoop), LoadTimer(NewLoop),
+      LoadMeasuredAt(now()), SourceHeardAt(now() - std::chrono::hours(1)),
+      Random(hash64(Settings.Self.Id)) {}
 
 fleet_link::~fleet_link() {
   for (auto &[Name, Connection] : Fetches)
@@ -92,6 +100,7 @@
   receive();
   arrangeWake();
   greetSeeds();
+  measureLoad();
   return true;
 }
 
@@ -127,7 +136,6 @@
       std::count_if(Members.begin(), Members.end(), [](const instance &Member) {
         return Member.State == instance_state::Live;
       });
-  InstancesSeen = std::max(InstancesSeen, static_cast<int>(Live));
   std::erase_if(Digests, [&](const auto &Entry) {
     return std::none_of(
         Members.begin(), Members.end(),
@@ -181,7 +189,7 @@
 
 auto fleet_link::ownDigest() const -> fleet_digest {
   return {Marks,
-          std::chrono::duration_cast<milliseconds>(now() - SourceHeardAt),
+          std::chrono::duration_cast<milliseconds>(now() - SourceHeardAt), Load,
           Ready};
 }
 
@@ -201,14 +209,35 @@
 auto fleet_link::tellNews() -> void {
   membership::gossip_message News;
   News.From = Settings.Self;
-  std::size_t Told = 0;
-  for (const instance &Member : Table.members()) {
-    if (Member.Id == Settings.Self.Id || Member.State == instance_state::Dead)
-      continue;
-    if (++Told > MostToldAtOnce)
-      return;
+  std::vector<instance> Others = Table.members();
+  std::erase_if(Others, [this](const instance &Member) {
+    return Member.Id == Settings.Self.Id ||
+           Member.State == instance_state::Dead;
+  });
+  std::shuffle(Others.begin(), Others.end(), Random);
+  Others.resize(std::min(Others.size(), MostToldAtOnce));
+  for (const instance &Member : Others)
     sendTo(endpointOf<asio::ip::udp>(splitAddress(Member.PeerAddress)), News);
-  }
+}
+
+auto fleet_link::measureLoad() -> void {
+  timespec Used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Used);
+  const auto Total = std::chrono::seconds(Used.tv_sec) +
+                     std::chrono::nanoseconds(Used.tv_nsec);
+  const auto Span = std::chrono::duration<double>(now() - LoadMeasuredAt);
+  if (Span.count() > 0)
+    Load +=
+        LoadSmoothing *
+        (std::chrono::duration<double>(Total - ProcessorTime) / Span - Load);
+  ProcessorTime = Total;
+  LoadMeasuredAt = now();
+  Handlers.OnMembers();
+  LoadTimer.expires_after(LoadPeriod);
+  LoadTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (!Error)
+      measureLoad();
+  });
 }
 
 auto fleet_link::setReady(const bool NewReady) -> void {
@@ -239,13 +268,33 @@
   return Peers;
 }
 
+auto fleet_link::serving() const -> std::vector<instance> {
+  std::vector<instance> Able = readyPeers();
+  if (Ready)
+    Able.push_back(Settings.Self);
+  std::vector<serving_candidate> Candidates;
+  for (const instance &Member : Able) {
+    const auto Digest = Digests.find(Member.Id);
+    const bool IsSelf = Member.Id == Settings.Self.Id;
+    const double Told = Digest == Digests.end() ? 0 : Digest->second.Load;
+    Candidates.push_back(
+        {Member.Id, Member.Domain, Member.Capacity, IsSelf ? Load : Told});
+  }
+  const auto Chosen = chooseServing(std::move(Candidates));
+  std::erase_if(Able, [&Chosen](const instance &Member) {
+    return std::find(Chosen.begin(), Chosen.end(), Member.Id) == Chosen.end();
+  });
+  return Able;
+}
+
 auto fleet_link::mustWatch() const -> bool {
   std::vector<watch_duty::peer> Peers;
   for (const instance &Member : readyPeers()) {
     const auto Digest = Digests.find(Member.Id);
-    Peers.push_back({Member.Id, Digest == Digests.end()
-                                    ? watch_duty::LongestSilence
-                                    : Digest->second.SourceSilence});
+    Peers.push_back({Member.Id,
+                     Digest == Digests.end() ? watch_duty::LongestSilence
+                                             : Digest->second.SourceSilence,
+                     Member.Capacity});
   }
   return Duty.mustWatch(Peers);
 }
@@ -272,9 +321,11 @@
         Connection->close();
         Fetches.erase(Name);
       });
-  const std::string Bytes = "GET " + std::string(DocumentPath) + Name +
-                            " HTTP/1.1\r\nHost: " + Server.Host +
-                            "\r\nConnection: close\r\n\r\n";
+  const auto Since = FetchWhole.erase(Name) > 0 ? 0 : mark(Name).AsOf;
+  const std::string Bytes =
+      "GET " + std::string(DocumentPath) + Name + std::string(SinceParameter) +
+      std::to_string(Since) + " HTTP/1.1\r\nHost: " + Server.Host +
+      "\r\nConnection: close\r\n\r\n";
   Connection->open();
   Connection->start(
       {Bytes, {}, {}, false},
@@ -286,8 +337,9 @@
           return;
         const document_mark Mark{revisionIn(Answer, AsOfHeader),
                                  revisionIn(Answer, ChangedHeader)};
-        if (Mark.isNewsFor(mark(Name)))
-          Handlers.Adopt(Name, Mark, Answer.Body);
+        if (Mark.isNewsFor(mark(Name)) &&
+            !Handlers.Adopt(Name, Mark, Answer.Body))
+          FetchWhole.insert(Name);
       });
 }
 
@@ -296,12 +348,19 @@
     const gateway::caller_request &Request) -> void {
   gateway::caller_answer Answer;
   Answer.Status = 404;
+  const auto Query = Request.Target.find(SinceParameter);
   if (Request.Target.starts_with(DocumentPath)) {
-    const std::string Name = Request.Target.substr(DocumentPath.size());
+    const std::string Name =
+        Request.Target.substr(DocumentPath.size(), Query - DocumentPath.size());
     const auto Known = Marks.find(Name);
     if (Known != Marks.end()) {
+      std::uint64_t Since = 0;
+      const std::string &Target = Request.Target;
+      if (Query != std::string::npos)
+        std::from_chars(Target.data() + Query + SinceParameter.size(),
+                        Target.data() + Target.size(), Since);
       Answer.Status = 200;
-      Answer.Body = Handlers.Write(Name);
+      Answer.Body = Handlers.Write(Name, Since);
       Answer.Headers = {
           {std::string(AsOfHeader), std::to_string(Known->second.AsOf)},
           {std::string(ChangedHeader), std::to_string(Known->second.Changed)}};
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -29,13 +30,14 @@
 class fleet_link {
 public:
   struct handlers {
-    /// The document as it is sent to peers.
-    std::function<std::string(const std::string &Name)> Write;
-    /// A peer's newer copy.
-    std::function<void(const std::string &Name, document_mark Mark,
+    /// The document as it is sent to a peer that has all up to \p Since.
+    std::function<std::string(const std::string &Name, std::uint64_t Since)>
+        Write;
+    /// A peer's newer copy; false when it can't be used.
+    std::function<bool(const std::string &Name, document_mark Mark,
                        const std::string &Body)>
         Adopt;
-    /// Who is alive may have changed.
+    /// Who is alive, or who serves, may have changed.
     std::function<void()> OnMembers;
   };
 
@@ -61,8 +63,8 @@
   /// this instance.
   auto readyPeers() const -> std::vector<instance>;
 
-  /// The most instances seen alive at once, this one included.
-  auto instancesSeen() const -> int { return InstancesSeen; }
+  /// The instances to name to callers; this one too if it is ready.
+  auto serving() const -> std::vector<instance>;
 
   auto mustWatch() const -> bool;
 
@@ -81,6 +83,7 @@
   auto arrangeWake() -> void;
   auto greetSeeds() -> void;
   auto tellNews() -> void;
+  auto measureLoad() -> void;
   auto compareDocuments(const instance &From, const fleet_digest &Digest)
       -> void;
   auto fetch(const std::string &Name, const instance &From) -> void;
@@ -95,15 +98,20 @@
   boost::asio::ip::udp::socket Socket;
   boost::asio::steady_timer WakeTimer;
   boost::asio::steady_timer GreetTimer;
+  boost::asio::steady_timer LoadTimer;
   std::array<char, 65536> Buffer;
   endpoint Sender;
   std::map<instance_id, fleet_digest> Digests; ///< as peers told
   std::map<std::string, document_mark> Marks;
   std::map<std::string, std::shared_ptr<gateway::http_connection>> Fetches;
   std::uint64_t KnownRevision = 0;
-  int InstancesSeen = 1;
   bool Ready = false;
+  double Load = 0;
+  std::chrono::nanoseconds ProcessorTime{0}; ///< at LoadMeasuredAt
+  time_point LoadMeasuredAt;
   time_point SourceHeardAt;
+  std::set<std::string> FetchWhole; ///< what changes alone didn't do for
+  std::mt19937_64 Random;
 };
 
 } // namespace tarragon::fleet
--- a/src/fleet/types/fleetdigest.h
+++ b/src/fleet/types/fleetdigest.h
@@ -12,6 +12,7 @@
 struct fleet_digest {
   std::map<std::string, document_mark> Documents; ///< by name
   milliseconds SourceSilence{0}; ///< since the source last answered it
+  double Load = 0;               ///< cores it uses
   bool Ready = false;            ///< it serves callers
 };
 
--- a/src/fleet/watchduty.h
+++ b/src/fleet/watchduty.h
@@ -17,13 +17,16 @@
 /// in, but never all.
 class watch_duty {
 public:
-  /// A live peer as it told of itself.
+  /// A live peer as it told of itself. The strongest watch first, since
+  /// the others fetch from them.
   struct peer {
     std::string Id;
     milliseconds SourceSilence{0};
+    double Capacity = 0;
   };
 
-  explicit watch_duty(std::string OwnId) : OwnId(std::move(OwnId)) {}
+  watch_duty(std::string OwnId, double OwnCapacity)
+      : OwnId(std::move(OwnId)), OwnCapacity(OwnCapacity) {}
 
   /// Whether this instance has to watch beside \p Peers.
   auto mustWatch(const std::vector<peer> &Peers) const -> bool;
@@ -36,6 +39,7 @@
 
 private:
   std::string OwnId;
+  double OwnCapacity;
 };
 
 } // namespace tarragon::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,10 @@
 namespace {
 
 constexpr milliseconds SweepPeriod{100};
+/// An instance in reserve has this part of a serving one's share.
+constexpr int ReservePart = 3;
+/// Instances that start together learn of each other first.
+constexpr milliseconds LearnPeers{400};
 constexpr milliseconds PoisonHold{30000};
 constexpr milliseconds RetryWithoutRoutes{250};
 constexpr milliseconds RetryElsewhere{20};
@@ -60,8 +64,11 @@
     : Loop(NewLoop), Settings(std::move(NewSettings)), Metrics(NewMetrics),
       Targets(Settings.FailureDomain),
       Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
-      SweepTimer(NewLoop) {
+      SweepTimer(NewLoop),
+      WarmFrom(std::chrono::steady_clock::now() + LearnPeers) {
   Budgets.setLimits(Settings.Retries);
+  SharedBudgets = Settings.Retries.Instances;
+  SharedBudgetsAt = std::chrono::steady_clock::now();
   Targets.setConnectionLimits({}, Settings.Retries.Instances);
   sweep();
 }
@@ -89,15 +96,29 @@
   warmPools();
 }
 
-auto gateway::setInstances(const int Count) -> void {
-  if (Count == Targets.instances())
-    return;
+auto gateway::setShare(const instance_share NewShare) -> void {
+  const auto Now = std::chrono::steady_clock::now();
+  // What a lost instance has spent still counts in the window.
+  if (NewShare.Serving >= SharedBudgets ||
+      Now - SharedBudgetsAt > 2 * Settings.Retries.Window) {
+    SharedBudgets = NewShare.Serving;
+    SharedBudgetsAt = Now;
+  }
   placement::retry_limits Limits = Budgets.limits();
-  Limits.Instances = Count;
-  Budgets.setLimits(Limits);
+  const int Parts = NewShare.Serves ? 1 : ReservePart;
+  Limits.Instances = SharedBudgets * Parts;
+  if (Limits != Budgets.limits())
+    Budgets.setLimits(Limits);
+  if (NewShare == Share)
+    return;
+  Share = NewShare;
   Targets.setConnectionLimits(Table ? Table->set().MostConnections
                                     : std::map<std::string, int>{},
-                              Count);
+                              Share.Serving * Parts);
+  log::write(log::level::Info, log::part::Membership, "share changed",
+             {{"serving", std::to_string(Share.Serving)},
+              {"serves", Share.Serves ? "yes" : "no"}});
+  warmPools();
 }
 
 auto gateway::applyTargets(const route::target_book::changes &Changes) -> void {
@@ -124,7 +145,7 @@
 }
 
 auto gateway::warmPools() -> void {
-  if (!Table)
+  if (!Table || !Share.Serves || std::chrono::steady_clock::now() < WarmFrom)
     return;
   for (const auto &[Service, Most] : Table->set().MostConnections)
     for (const route::target_entry *Entry : Targets.book().usable(Service))
@@ -148,6 +169,10 @@
   const auto Now = std::chrono::steady_clock::now();
   for (auto &[Id, Pool] : Pools)
     Pool->sweep(Now);
+  if (Now >= WarmFrom && !Warmed) {
+    Warmed = true;
+    warmPools();
+  }
   const auto Changes = Targets.book().expire(Now);
   if (!Changes.empty())
     applyTargets(Changes);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/targetpool.h"
 #include "gateway/types/callerrequest.h"
 #include "gateway/types/gatewaysettings.h"
+#include "gateway/types/instanceshare.h"
 #include "placement/latencymodel.h"
 #include "placement/retrybudgettable.h"
 #include "placement/targetset.h"
@@ -45,8 +46,9 @@
   /// Takes what changed in the book of targets.
   auto applyTargets(const route::target_book::changes &Changes) -> void;
 
-  /// How many instances share the budgets and the targets' connections.
-  auto setInstances(int Count) -> void;
+  /// With how many the budgets and the targets' connections are shared. An
+  /// instance in reserve keeps to a smaller part and opens nothing ahead.
+  auto setShare(instance_share Share) -> void;
 
   /// Requests that can't be answered by \p Until are refused from now on.
   auto endBy(time_point Until) -> void { EndsAt = Until; }
@@ -91,6 +93,11 @@
   std::unordered_set<std::shared_ptr<active_request>> Active;
   boost::asio::steady_timer SweepTimer;
   std::optional<time_point> EndsAt;
+  instance_share Share;
+  bool Warmed = false;        ///< first connections were opened
+  int SharedBudgets = 1;      ///< most instances that shared them lately
+  time_point SharedBudgetsAt; ///< when so many did last
+  time_point WarmFrom;        ///< the peers are known by then
 };
 
 } // namespace tarragon::gateway
--- a/src/membership/gossipcodec.cpp
+++ b/src/membership/gossipcodec.cpp
@@ -46,6 +46,8 @@
   Value["peer_address"] = Instance.PeerAddress;
   Value["failure_domain"] = Instance.Domain;
   Value["incarnation"] = Json::UInt64{Instance.Incarnation};
+  if (Instance.Capacity > 0)
+    Value["capacity"] = Instance.Capacity;
   Value["state"] = static_cast<int>(Instance.State);
   return Value;
 }
@@ -57,6 +59,7 @@
   Instance.PeerAddress = Value["peer_address"].asString();
   Instance.Domain = Value["failure_domain"].asString();
   Instance.Incarnation = Value["incarnation"].asUInt64();
+  Instance.Capacity = Value["capacity"].asDouble();
   Instance.State = readState(Value["state"]);
   return Instance;
 }
--- a/src/world/types/instance.h
+++ b/src/world/types/instance.h
@@ -15,6 +15,7 @@
   failure_domain Domain;
   incarnation Incarnation = 0;
   instance_state State = instance_state::Live;
+  double Capacity = 0; ///< cores it may use; 0: not told
 
   auto operator==(const instance &) const -> bool = default;
 };
