--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint sanitize demo stats packages
+.PHONY: build test lint sanitize deploy demo stats packages
 
 packages:
 	tools/install-packages
@@ -16,9 +16,15 @@
 # Memory errors in every part that reads what others wrote; data races where
 # threads share tables.
 sanitize: packages
-	tools/sanitize asan global world transport peer entry query once store report
+	tools/sanitize asan global world transport peer entry query once store report \
+	  route placement gateway platformadapter
 	tools/sanitize tsan transport peer report store
 
+# What the users' platform builds, without any test.
+deploy: packages
+	cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release -DTARRAGON_ENTRY_ONLY=ON
+	cmake --build target --target tarragon-entry
+
 demo: build
 	tools/demo
 
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -241,6 +241,12 @@
   }
 }
 
+auto caller_session::peer() const -> std::string {
+  boost::system::error_code Error;
+  const auto Peer = Socket.remote_endpoint(Error);
+  return Error ? std::string() : Peer.address().to_string();
+}
+
 auto caller_session::close() -> void {
   if (State == state::Closed)
     return;
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -43,6 +43,9 @@
 
   auto close() -> void;
 
+  /// The caller's address, or nothing once it has left.
+  auto peer() const -> std::string;
+
   auto isOpen() const -> bool { return State != state::Closed; }
   auto isIdle() const -> bool { return State == state::Reading && !SawBytes; }
 
