Earlier hedges while the budget is ample; margins learn how late timers come

Cause: on the grown sites, with 36 parts a query, four of five queries meet a pausing target; and early answers came late because the processor was busy when their timers were due. Change: a part is late beyond 1.25 times what the faster three quarters take while 0.4 of the budget is left; the margin of early answers grows with the lateness of timers; loss is looked for by the last parts and every 25 ms only; timers are set anew only for an earlier wake; reserve instances close idle connections, and nothing is opened ahead while peers come and go.

--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -189,10 +189,7 @@
   const attempt_end AttemptEnd = classify(End, Answer);
   Exchange.End = AttemptEnd;
   Exchange.Answer = std::move(Answer);
-  Gateway.metrics()
-      .counter("tarragon_attempts_total",
-               {{"end", std::string(placement::name(AttemptEnd))}})
-      .add();
+  Gateway.countAttempt(AttemptEnd);
   if (AttemptEnd == attempt_end::Broken)
     noteBroken(Exchange.Target);
   perform(Plan.onEnded(Key, AttemptEnd, std::chrono::steady_clock::now()));
@@ -216,15 +213,20 @@
 }
 
 auto active_request::schedule() -> void {
-  if (Timer.expiry() == Plan.nextWake())
+  // A timer that comes too early is cheaper than one set anew at each answer.
+  if (TimerSet && Timer.expiry() <= Plan.nextWake())
     return;
+  TimerSet = true;
   Timer.expires_at(Plan.nextWake());
   auto Self = shared_from_this();
   Timer.async_wait([Self](const boost::system::error_code &Error) {
     if (Error || Self->Plan.finished())
       return;
     const auto Now = std::chrono::steady_clock::now();
-    Self->Timer.expires_at(time_point::min());
+    Self->TimerSet = false;
+    if (Now < Self->Plan.nextWake())
+      return Self->schedule();
+    Self->Gateway.noteLateness(Now - Self->Plan.nextWake());
     Self->perform(Self->Plan.onTimer(Now));
   });
 }
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -67,6 +67,7 @@
   std::string CommonHead; ///< of the request as it goes to every target
   std::map<placement::attempt_key, exchange> Exchanges;
   boost::asio::steady_timer Timer;
+  bool TimerSet = false;
   std::uint64_t Fingerprint;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -112,13 +112,17 @@
   if (NewShare == Share)
     return;
   Share = NewShare;
+  ShareChanged = Now;
+  Warmed = false;
+  if (!Share.Serves)
+    for (auto &[Id, Pool] : Pools)
+      Pool->dropIdle();
   Targets.setConnectionLimits(Table ? Table->set().MostConnections
                                     : std::map<std::string, int>{},
                               Share.Serving * Parts);
   log::write(log::level::Info, log::part::Membership, "share changed",
              {{"serving", std::to_string(Share.Serving)},
               {"serves", Share.Serves ? "yes" : "no"}});
-  warmPools();
 }
 
 auto gateway::applyTargets(const route::target_book::changes &Changes) -> void {
@@ -145,7 +149,7 @@
 }
 
 auto gateway::warmPools() -> void {
-  if (!Table || !Share.Serves || std::chrono::steady_clock::now() < WarmFrom)
+  if (!Table || !Share.Serves || !Warmed)
     return;
   for (const auto &[Service, Most] : Table->set().MostConnections)
     for (const route::target_entry *Entry : Targets.book().usable(Service))
@@ -169,7 +173,7 @@
   const auto Now = std::chrono::steady_clock::now();
   for (auto &[Id, Pool] : Pools)
     Pool->sweep(Now);
-  if (Now >= WarmFrom && !Warmed) {
+  if (Table && !Warmed && Now >= WarmFrom && Now >= ShareChanged + LearnPeers) {
     Warmed = true;
     warmPools();
   }
@@ -209,10 +213,28 @@
   Plan.Deadline =
       Request.ReceivedAt + Wait - std::min(LongestWayBack, Wait / 10);
   Plan.EarlyAt = Request.ReceivedAt + Route.Objective -
-                 std::max(ShortestEarlyMargin, Route.Objective / 10);
+                 std::max(ShortestEarlyMargin, Route.Objective / 10) -
+                 2 * usualLateness();
   return Plan;
 }
 
+auto gateway::usualLateness() const -> microseconds {
+  return Lateness.quantile(0.9);
+}
+
+auto gateway::noteLateness(
+    const std::chrono::steady_clock::duration NewLateness) -> void {
+  Lateness.record(std::chrono::duration_cast<microseconds>(NewLateness));
+}
+
+auto gateway::countAttempt(const placement::attempt_end End) -> void {
+  report::metric_counter *&Counter = AttemptCounters[End];
+  if (!Counter)
+    Counter = &Metrics.counter("tarragon_attempts_total",
+                               {{"end", std::string(placement::name(End))}});
+  Counter->add();
+}
+
 auto gateway::endsTooSoon(const route::route &Route, const time_point Now)
     -> bool {
   return EndsAt && Now + latencies(Route).quantile(0.99) > *EndsAt;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,6 +64,11 @@
   /// The pool of \p Target, opened when it is new.
   auto pool(const route::target_entry &Target) -> target_pool &;
 
+  /// A timer of a request came so much too late: the processor was busy.
+  auto noteLateness(std::chrono::steady_clock::duration NewLateness) -> void;
+
+  auto countAttempt(placement::attempt_end End) -> void;
+
   /// An active request has its answer.
   auto release(const std::shared_ptr<active_request> &Request) -> void;
 
@@ -75,6 +80,7 @@
       -> milliseconds;
   auto planFor(const route::route &Route, const caller_request &Request)
       -> placement::plan_settings;
+  auto usualLateness() const -> microseconds;
   auto endsTooSoon(const route::route &Route, time_point Now) -> bool;
   auto sweep() -> void;
   auto warmPools() -> void;
@@ -91,10 +97,13 @@
   std::map<std::string, placement::latency_model> Latencies; ///< by route
   std::unordered_map<std::string, std::unique_ptr<target_pool>> Pools;
   std::unordered_set<std::shared_ptr<active_request>> Active;
+  placement::latency_model Lateness{milliseconds(0)};
+  std::map<placement::attempt_end, report::metric_counter *> AttemptCounters;
   boost::asio::steady_timer SweepTimer;
   std::optional<time_point> EndsAt;
   instance_share Share;
   bool Warmed = false;        ///< first connections were opened
+  time_point ShareChanged;    ///< when peers last came or went
   int SharedBudgets = 1;      ///< most instances that shared them lately
   time_point SharedBudgetsAt; ///< when so many did last
   time_point WarmFrom;        ///< the peers are known by then
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -13,8 +13,10 @@
 /// A part is late beyond so many times the latency of the faster three
 /// quarters, and later still when the budget is nearly spent.
 constexpr double FasterShare = 0.75;
-constexpr double EagerHedge = 1.4;
+constexpr double EagerHedge = 1.25;
 constexpr double ReluctantHedge = 2.8;
+/// While so much of the budget is left, it is not spared.
+constexpr double AmpleBudget = 0.4;
 constexpr microseconds ShortestHedge{4000};
 constexpr milliseconds LookAgain{10};   ///< for a target with room
 constexpr milliseconds LookForLoss{25}; ///< of the targets asked
@@ -87,7 +89,8 @@
     -> microseconds {
   const double Left =
       Context.Budgets.of(Part.Service).left(extra_purpose::Hedge, Now);
-  const double Times = ReluctantHedge - (ReluctantHedge - EagerHedge) * Left;
+  const double Ample = std::min(1.0, Left / AmpleBudget);
+  const double Times = ReluctantHedge - (ReluctantHedge - EagerHedge) * Ample;
   const auto Late = std::chrono::duration_cast<microseconds>(
       Context.Latencies.quantile(FasterShare) * Times);
   return std::max(ShortestHedge, Late);
@@ -174,27 +177,29 @@
   return Context.Targets.lost(Part.Service, Context.Latencies.typical(), Now);
 }
 
-auto request_plan::count(const time_point Now) const -> tally {
+auto request_plan::isDoomed(const part &Part, const time_point Now) const
+    -> bool {
+  for (const attempt &Attempt : Part.Attempts)
+    if (!Attempt.End && !Context.Targets.state(Attempt.Target)
+                             .hopeless(Context.Latencies.typical(), Now))
+      return false;
+  return lost(Part, Now);
+}
+
+auto request_plan::count(const time_point Now, const bool LookForLoss) const
+    -> tally {
   tally Tally;
   for (const part &Part : Parts) {
     if (Part.Answered) {
       ++Tally.Answered;
       continue;
     }
-    bool Out = false;
-    bool Hope = false;
-    for (const attempt &Attempt : Part.Attempts) {
-      if (Attempt.End)
-        continue;
-      Out = true;
-      Hope |= !Context.Targets.state(Attempt.Target)
-                   .hopeless(Context.Latencies.typical(), Now);
-    }
-    const bool Lost = (!Out || !Hope) && lost(Part, Now);
-    if (!Out && (!Part.Waiting || Lost))
+    const bool Out = std::any_of(Part.Attempts.begin(), Part.Attempts.end(),
+                                 [](const attempt &A) { return !A.End; });
+    if (!Out && (!Part.Waiting || lost(Part, Now)))
       continue;
     ++Tally.Open;
-    Tally.Doomed += Lost ? 1 : 0;
+    Tally.Doomed += LookForLoss && isDoomed(Part, Now) ? 1 : 0;
   }
   return Tally;
 }
@@ -202,8 +207,14 @@
 auto request_plan::settle(const time_point Now, plan_actions &Actions) -> void {
   if (Finished)
     return;
-  const tally Tally = count(Now);
+  // Whether what is out has lost hope matters to the last parts only, and to
+  // those that wait for long.
+  tally Tally = count(Now, false);
   const bool Enough = Tally.Answered >= Settings.LeastParts;
+  if (Enough || Now >= LossLookedAt + LookForLoss) {
+    LossLookedAt = Now;
+    Tally = count(Now, true);
+  }
   if (Enough && (Tally.Open == Tally.Doomed || Now >= Settings.EarlyAt))
     return finish(plan_verdict::Answer, Now, Actions);
   if (Tally.Answered + Tally.Open - Tally.Doomed < Settings.LeastParts)
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -81,7 +81,8 @@
   auto mayHedge(const part &Part) const -> bool;
   auto hedgeDelay(const part &Part, time_point Now) const -> microseconds;
   auto lost(const part &Part, time_point Now) const -> bool;
-  auto count(time_point Now) const -> tally;
+  auto isDoomed(const part &Part, time_point Now) const -> bool;
+  auto count(time_point Now, bool LookForLoss) const -> tally;
   auto settle(time_point Now, plan_actions &Actions) -> void;
   auto finish(plan_verdict Verdict, time_point Now, plan_actions &Actions)
       -> void;
@@ -96,6 +97,7 @@
   std::vector<part> Parts;
   std::optional<attempt_key> Failure;
   time_point Wake;
+  time_point LossLookedAt;
   bool Finished = false;
 };
 
