--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <ctime>
 
 namespace tarragon::fleet {
 
@@ -25,7 +24,6 @@
 constexpr std::string_view ChangedHeader = "Changed";
 constexpr std::size_t MostToldAtOnce = 16;
 constexpr milliseconds LoadPeriod{1000};
-constexpr double LoadSmoothing = 0.5;
 constexpr std::string_view SinceParameter = "?since=";
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
@@ -78,7 +76,7 @@
       Table(Settings.Self, tableSettings(), hash64(Settings.Self.Id), now()),
       Duty(Settings.Self.Id, Settings.Self.Capacity), Socket(NewLoop),
       WakeTimer(NewLoop), GreetTimer(NewLoop), LoadTimer(NewLoop),
-      LoadMeasuredAt(now()), SourceHeardAt(now() - std::chrono::hours(1)),
+      SourceHeardAt(now() - std::chrono::hours(1)),
       Random(hash64(Settings.Self.Id)) {}
 
 fleet_link::~fleet_link() {
@@ -142,7 +140,7 @@
         [&](const instance &Member) { return Member.Id == Entry.first; });
   });
   log::write(log::level::Info, log::part::Membership, "members changed",
-             {{"live", std::to_string(Live)}});
+             {{"live", std::to_string(Live)}, {"load", std::to_string(Load)}});
   Handlers.OnMembers();
 }
 
@@ -221,17 +219,7 @@
 }
 
 auto fleet_link::measureLoad() -> void {
-  timespec Used{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Used);
-  const auto Total = std::chrono::seconds(Used.tv_sec) +
-                     std::chrono::nanoseconds(Used.tv_nsec);
-  const auto Span = std::chrono::duration<double>(now() - LoadMeasuredAt);
-  if (Span.count() > 0)
-    Load +=
-        LoadSmoothing *
-        (std::chrono::duration<double>(Total - ProcessorTime) / Span - Load);
-  ProcessorTime = Total;
-  LoadMeasuredAt = now();
+  Load = Handlers.Load();
   Handlers.OnMembers();
   LoadTimer.expires_after(LoadPeriod);
   LoadTimer.async_wait([this](const boost::system::error_code &Error) {
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -37,6 +37,8 @@
     std::function<bool(const std::string &Name, document_mark Mark,
                        const std::string &Body)>
         Adopt;
+    /// The cores this instance uses for requests.
+    std::function<double()> Load;
     /// Who is alive, or who serves, may have changed.
     std::function<void()> OnMembers;
   };
@@ -107,8 +109,6 @@
   std::uint64_t KnownRevision = 0;
   bool Ready = false;
   double Load = 0;
-  std::chrono::nanoseconds ProcessorTime{0}; ///< at LoadMeasuredAt
-  time_point LoadMeasuredAt;
   time_point SourceHeardAt;
   std::set<std::string> FetchWhole; ///< what changes alone didn't do for
   std::mt19937_64 Random;
--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -39,7 +39,7 @@
                 Link.setMark(Name, Mark);
                 return true;
               },
-              [] {}}) {
+              [] { return 0.1; }, [] {}}) {
     BOOST_REQUIRE(
         Server.listen({asio::ip::make_address(Ip), std::uint16_t(Port + 1)}));
     BOOST_REQUIRE(Link.start());
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr milliseconds SweepPeriod{100};
+/// Processor time of an exchange with a target, all in.
+constexpr microseconds ExchangeCost{250};
+constexpr double LoadSmoothing = 0.5;
 /// An instance in reserve has this part of a serving one's share.
 constexpr int ReservePart = 3;
 /// Instances that start together learn of each other first.
@@ -70,6 +73,7 @@
   SharedBudgets = Settings.Retries.Instances;
   SharedBudgetsAt = std::chrono::steady_clock::now();
   Targets.setConnectionLimits({}, Settings.Retries.Instances);
+  LoadAskedAt = std::chrono::steady_clock::now();
   sweep();
 }
 
@@ -227,12 +231,23 @@
   Lateness.record(std::chrono::duration_cast<microseconds>(NewLateness));
 }
 
+auto gateway::load() -> double {
+  const auto Now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> Span = Now - LoadAskedAt;
+  const std::chrono::duration<double> Used = ExchangeCost * Exchanges;
+  Load += LoadSmoothing * (Used / Span - Load);
+  LoadAskedAt = Now;
+  Exchanges = 0;
+  return Load;
+}
+
 auto gateway::countAttempt(const placement::attempt_end End) -> void {
   report::metric_counter *&Counter = AttemptCounters[End];
   if (!Counter)
     Counter = &Metrics.counter("tarragon_attempts_total",
                                {{"end", std::string(placement::name(End))}});
   Counter->add();
+  ++Exchanges;
 }
 
 auto gateway::endsTooSoon(const route::route &Route, const time_point Now)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,9 @@
   /// A timer of a request came so much too late: the processor was busy.
   auto noteLateness(std::chrono::steady_clock::duration NewLateness) -> void;
 
+  /// The cores that requests used lately. To be asked about once a second.
+  auto load() -> double;
+
   auto countAttempt(placement::attempt_end End) -> void;
 
   /// An active request has its answer.
@@ -99,6 +102,9 @@
   std::unordered_set<std::shared_ptr<active_request>> Active;
   placement::latency_model Lateness{milliseconds(0)};
   std::map<placement::attempt_end, report::metric_counter *> AttemptCounters;
+  std::uint64_t Exchanges = 0; ///< since LoadAskedAt
+  time_point LoadAskedAt;
+  double Load = 0;
   boost::asio::steady_timer SweepTimer;
   std::optional<time_point> EndsAt;
   instance_share Share;
