--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -199,8 +199,7 @@
 }
 
 auto active_request::noteBroken(const std::string &Target) -> void {
-  Gateway.poison().recordCrash({Fingerprint, Target, true, milliseconds(0)},
-                               std::chrono::steady_clock::now());
+  Gateway.checkCrash(Target, Fingerprint);
 }
 
 auto active_request::onCallerGone() -> void {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -241,6 +241,27 @@
   return Load;
 }
 
+auto gateway::checkCrash(const std::string &Target, const fingerprint Request)
+    -> void {
+  const route::target_entry *Entry = Targets.book().find(Target);
+  if (!Entry)
+    return;
+  const auto Probe = pool(*Entry).openNew();
+  if (!Probe)
+    return;
+  Probe->setClosedHandler([this, Probe = std::weak_ptr(Probe), Target,
+                           Request] {
+    const auto Ended = Probe.lock();
+    if (!Ended || Ended->connected())
+      return;
+    Poison.recordCrash({Request, Target, true, milliseconds(0)},
+                       std::chrono::steady_clock::now());
+    log::write(log::level::Info, log::part::Admission,
+               "target crashed under a request",
+               {{"target", Target}, {"fingerprint", std::to_string(Request)}});
+  });
+}
+
 auto gateway::countAttempt(const placement::attempt_end End) -> void {
   report::metric_counter *&Counter = AttemptCounters[End];
   if (!Counter)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,6 +72,10 @@
 
   auto countAttempt(placement::attempt_end End) -> void;
 
+  /// A run of \p Request at \p Target broke off: whether the target crashed
+  /// under it shows in whether it still takes connections.
+  auto checkCrash(const std::string &Target, fingerprint Request) -> void;
+
   /// An active request has its answer.
   auto release(const std::shared_ptr<active_request> &Request) -> void;
 
--- a/src/gateway/targetpool.cpp
+++ b/src/gateway/targetpool.cpp
@@ -34,6 +34,8 @@
 }
 
 auto target_pool::openNew() -> connection_pointer {
+  if (static_cast<int>(Connections.size()) >= MostConnections)
+    return nullptr;
   auto Connection =
       std::make_shared<http_connection>(Loop, Target, ConnectTimeout);
   Connections.push_back(Connection);
@@ -71,8 +73,6 @@
       prune(Now);
     }
   }
-  if (static_cast<int>(Connections.size()) >= MostConnections)
-    return nullptr;
   return openNew();
 }
 
--- a/src/gateway/targetpool.h
+++ b/src/gateway/targetpool.h
@@ -27,6 +27,9 @@
   /// end for a while, so that the connection can be kept.
   auto linger(const connection_pointer &Connection, time_point Now) -> void;
 
+  /// Opens a connection, or gives null when there is no room.
+  auto openNew() -> connection_pointer;
+
   /// Opens a first connection ahead of need.
   auto warm() -> void;
 
@@ -44,7 +47,6 @@
     time_point Until;
   };
 
-  auto openNew() -> connection_pointer;
   auto prune(time_point Now) -> void;
 
   boost::asio::io_context &Loop;
--- a/src/gateway/tests/scriptedpeer.cpp
+++ b/src/gateway/tests/scriptedpeer.cpp
@@ -62,6 +62,11 @@
   return Acceptor.local_endpoint();
 }
 
+auto scripted_server::stopListening() -> void {
+  boost::system::error_code Ignored;
+  Acceptor.close(Ignored);
+}
+
 auto scripted_server::accept() -> void {
   Acceptor.async_accept([this](const boost::system::error_code &Error,
                                asio::ip::tcp::socket Socket) {
--- a/src/gateway/tests/scriptedpeer.h
+++ b/src/gateway/tests/scriptedpeer.h
@@ -30,6 +30,9 @@
 
   auto endpoint() const -> boost::asio::ip::tcp::endpoint;
 
+  /// From now on the port is closed.
+  auto stopListening() -> void;
+
   /// Whole requests so far, as they came.
   auto requests() const -> const std::vector<std::string> & { return Requests; }
   /// Connections that the other side has ended.
