--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -3,7 +3,6 @@
 #include "gateway/callersession.h"
 #include "gateway/gateway.h"
 #include "gateway/internal/answerwriter.h"
-#include "global/hash.h"
 #include "global/log.h"
 #include "route/recordmerge.h"
 
@@ -68,8 +67,7 @@
   const header_names &Names = Gateway.settings().Names;
   const caller_request &Request = Origin.Request;
   Id = headerValue(Request.Headers, Names.RequestId);
-  Fingerprint = hash64(Request.Method + ' ' + Request.Host + Request.Target +
-                       '\n' + Request.Body);
+  Fingerprint = fingerprintOf(Request);
   CommonHead = Request.Method + ' ' + Request.Target + " HTTP/1.1\r\n";
   for (const header_field &Field : internal::passedOn(Request.Headers))
     if (!equal(Field.Name, Names.Deadline) &&
@@ -252,10 +250,7 @@
   std::string Stamps;
   for (const auto &[Key, Exchange] : Exchanges) {
     const exchange_answer &Answer = Exchange.Answer;
-    const bool Counts =
-        classify(Answer.Status ? exchange_end::Complete : exchange_end::Broken,
-                 Answer) == attempt_end::Answered;
-    if (!Counts)
+    if (Exchange.End != attempt_end::Answered)
       continue;
     Parts.push_back(Answer.Body);
     Stamps += Stamps.empty() ? "" : ", ";
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "gateway/activerequest.h"
 #include "gateway/callersession.h"
-#include "global/hash.h"
 #include "global/log.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -284,9 +283,8 @@
   const auto Now = std::chrono::steady_clock::now();
   if (endsTooSoon(*Route, Now))
     return refuse(Session, 503, "this instance is stopping", RetryElsewhere);
-  const auto Fingerprint = hash64(Request.Method + ' ' + Request.Host +
-                                  Request.Target + '\n' + Request.Body);
-  if (Poison.verdict(Fingerprint, Now) == admission::poison_verdict::Held)
+  if (Poison.verdict(fingerprintOf(Request), Now) ==
+      admission::poison_verdict::Held)
     return refuse(Session, 503, "held: it crashed targets", PoisonHold);
   const placement::plan_settings Plan = planFor(*Route, Request);
   auto Active = std::make_shared<active_request>(
--- a/src/gateway/types/callerrequest.h
+++ b/src/gateway/types/callerrequest.h
@@ -3,6 +3,7 @@
 #include "gateway/types/headerfield.h"
 #include "global/types/time.h"
 
+#include <cstdint>
 #include <string>
 
 namespace tarragon::gateway {
@@ -18,6 +19,9 @@
   time_point ReceivedAt;
 };
 
+/// What makes a request the same one when it comes again.
+auto fingerprintOf(const caller_request &Request) -> std::uint64_t;
+
 /// An answer to a caller.
 struct caller_answer {
   unsigned Status = 200;
