Fault soak: real entry processes under series of planned work and faults

Cause: nothing of ours provoked overlapping faults around real processes and judged them from what callers and targets see. The proxy can be stopped. Ruled out: a second proxy on the event loop: the stand-in's does all of it. That each check finds its breach: soak_tests. Conclusion: links between entries have no proxy yet; freezes and kills are all that is played there.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint sanitize deploy demo stats packages
+.PHONY: build test lint sanitize deploy soak demo stats packages
 
 packages:
 	tools/install-packages
@@ -25,6 +25,13 @@
 	cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release -DTARRAGON_ENTRY_ONLY=ON
 	cmake --build target --target tarragon-entry
 
+# Real entry processes under random faults: make soak SEEDS=50 FIRST=1000
+SEEDS ?= 10
+FIRST ?= 1
+soak: build
+	build/release/platform/tarragon-soak --seeds $(SEEDS) --first $(FIRST) \
+	  --again platform/tests/soak/seeds.txt
+
 demo: build
 	tools/demo
 
--- a/standins/proxy/proxyloop.cpp
+++ b/standins/proxy/proxyloop.cpp
@@ -33,10 +33,15 @@
 }
 
 auto proxy_loop::run() -> void {
-  while (true)
+  while (!Stopping)
     step();
 }
 
+auto proxy_loop::stop() -> void {
+  Stopping = true;
+  wake();
+}
+
 auto proxy_loop::faults() const -> proxy_faults {
   const std::lock_guard Lock(Mutex);
   return Faults;
--- a/standins/proxy/proxyloop.h
+++ b/standins/proxy/proxyloop.h
@@ -21,7 +21,10 @@
 
   /// False when the address is taken.
   auto open() -> bool;
-  [[noreturn]] auto run() -> void;
+  /// Returns after stop().
+  auto run() -> void;
+  /// From any thread.
+  auto stop() -> void;
 
   /// From any thread.
   auto faults() const -> proxy_faults;
@@ -52,6 +55,7 @@
   proxy_faults Faults;
   bool CutWanted = false;
   std::atomic<std::size_t> Count{0};
+  std::atomic<bool> Stopping{false};
 };
 
 } // namespace tarragon::standins
