Fleet: who heard "not ready" hears "ready" at once; a young one asks for the whole table

Cause: 71 instances that start together needed 25 s until each took all others to serve. Membership was known soon; what lasted was readiness: an instance that had greeted its peers before it had routes told 16 of them when it got them, and the rest heard at its next direct probe, 28 s later. Change: an instance remembers whom it told that it isn't ready, and tells them when it is. One that knows far fewer members than a peer asks that peer for its whole table, as a document. Ruled out: more updates a datagram (they would be cut into packets); more probes (27 to 10 s before, and the load stays).

--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -18,6 +18,7 @@
   Value["silence_ms"] = Json::Int64{Digest.SourceSilence.count()};
   Value["load"] = Digest.Load;
   Value["ready"] = Digest.Ready;
+  Value["members"] = Digest.Members;
   return Value;
 }
 
@@ -31,6 +32,7 @@
   Digest.SourceSilence = milliseconds(Value["silence_ms"].asInt64());
   Digest.Load = Value["load"].asDouble();
   Digest.Ready = Value["ready"].asBool();
+  Digest.Members = Value["members"].asUInt();
   return Digest;
 }
 
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace tarragon::fleet {
 
@@ -25,6 +26,11 @@
 constexpr std::size_t MostToldAtOnce = 16;
 constexpr milliseconds LoadPeriod{1000};
 constexpr std::string_view SinceParameter = "?since=";
+/// All that an instance knows of its peers; a document of its own kind.
+constexpr std::string_view MembersName = "members";
+/// A peer that knows so many times the members is asked for all of them.
+constexpr double FarMore = 1.05;
+constexpr milliseconds MembersPause{300};
 
 auto now() -> time_point { return std::chrono::steady_clock::now(); }
 
@@ -123,6 +129,7 @@
   send(Table.onMessage(Datagram->Gossip, now()));
   membersChanged();
   compareDocuments(From, Datagram->Digest);
+  compareMembers(From, Datagram->Digest);
 }
 
 auto fleet_link::membersChanged() -> void {
@@ -130,17 +137,18 @@
     return;
   KnownRevision = Table.revision();
   const auto Members = Table.members();
-  const auto Live =
+  LiveMembers = static_cast<std::uint32_t>(
       std::count_if(Members.begin(), Members.end(), [](const instance &Member) {
         return Member.State == instance_state::Live;
-      });
+      }));
   std::erase_if(Digests, [&](const auto &Entry) {
     return std::none_of(
         Members.begin(), Members.end(),
         [&](const instance &Member) { return Member.Id == Entry.first; });
   });
-  log::write(log::level::Info, log::part::Membership, "members changed",
-             {{"live", std::to_string(Live)}, {"load", std::to_string(Load)}});
+  log::write(
+      log::level::Info, log::part::Membership, "members changed",
+      {{"live", std::to_string(LiveMembers)}, {"load", std::to_string(Load)}});
   Handlers.OnMembers();
 }
 
@@ -181,6 +189,8 @@
 auto fleet_link::sendTo(const endpoint &To,
                         const membership::gossip_message &Message) -> void {
   const std::string Text = writeDatagram({Message, ownDigest()});
+  if (!Ready)
+    ToldNotReady.insert(To);
   boost::system::error_code Ignored; // a lost datagram is no failure
   Socket.send_to(asio::buffer(Text), To, 0, Ignored);
 }
@@ -188,7 +198,7 @@
 auto fleet_link::ownDigest() const -> fleet_digest {
   return {Marks,
           std::chrono::duration_cast<milliseconds>(now() - SourceHeardAt), Load,
-          Ready};
+          Ready, LiveMembers};
 }
 
 auto fleet_link::setMark(const std::string &Name, const document_mark Mark)
@@ -233,6 +243,13 @@
     return;
   Ready = NewReady;
   tellNews();
+  if (!Ready)
+    return;
+  // Those who heard otherwise may not hear from this instance for long.
+  membership::gossip_message News;
+  News.From = Settings.Self;
+  for (const endpoint &To : std::exchange(ToldNotReady, {}))
+    sendTo(To, News);
 }
 
 auto fleet_link::noteSource() -> void { SourceHeardAt = now(); }
@@ -294,7 +311,47 @@
       fetch(Name, From);
 }
 
+auto fleet_link::compareMembers(const instance &From,
+                                const fleet_digest &Digest) -> void {
+  const time_point Now = now();
+  if (Digest.Members <= LiveMembers * FarMore ||
+      Now - MembersAskedAt < MembersPause)
+    return;
+  MembersAskedAt = Now;
+  fetchMembers(From);
+}
+
+auto fleet_link::fetchMembers(const instance &From) -> void {
+  ask(From, std::string(MembersName), 0,
+      [this](const gateway::exchange_answer &Answer) {
+        const auto Told = readDatagram(Answer.Body);
+        if (!Told)
+          return;
+        Table.takeRows(Told->Gossip.Rows, now());
+        membersChanged();
+      });
+}
+
+auto fleet_link::membersText() const -> std::string {
+  membership::gossip_message Message;
+  Message.From = Settings.Self;
+  Message.Rows = Table.rows();
+  return writeDatagram({Message, ownDigest()});
+}
+
 auto fleet_link::fetch(const std::string &Name, const instance &From) -> void {
+  const auto Since = FetchWhole.erase(Name) > 0 ? 0 : mark(Name).AsOf;
+  ask(From, Name, Since, [this, Name](const gateway::exchange_answer &Answer) {
+    const document_mark Mark{revisionIn(Answer, AsOfHeader),
+                             revisionIn(Answer, ChangedHeader)};
+    if (Mark.isNewsFor(mark(Name)) && !Handlers.Adopt(Name, Mark, Answer.Body))
+      FetchWhole.insert(Name);
+  });
+}
+
+auto fleet_link::ask(
+    const instance &From, const std::string &Name, const std::uint64_t Since,
+    std::function<void(const gateway::exchange_answer &)> OnAnswer) -> void {
   host_port Server = splitAddress(From.PeerAddress);
   Server.Port = Settings.DocumentPort;
   auto Connection = std::make_shared<gateway::http_connection>(
@@ -309,7 +366,6 @@
         Connection->close();
         Fetches.erase(Name);
       });
-  const auto Since = FetchWhole.erase(Name) > 0 ? 0 : mark(Name).AsOf;
   const std::string Bytes =
       "GET " + std::string(DocumentPath) + Name + std::string(SinceParameter) +
       std::to_string(Since) + " HTTP/1.1\r\nHost: " + Server.Host +
@@ -317,17 +373,13 @@
   Connection->open();
   Connection->start(
       {Bytes, {}, {}, false},
-      [this, Name, Timer](const gateway::exchange_end End,
-                          const gateway::exchange_answer &Answer) {
+      [this, Name, Timer,
+       OnAnswer = std::move(OnAnswer)](const gateway::exchange_end End,
+                                       const gateway::exchange_answer &Answer) {
         Timer->cancel();
         Fetches.erase(Name);
-        if (End != gateway::exchange_end::Complete || Answer.Status != 200)
-          return;
-        const document_mark Mark{revisionIn(Answer, AsOfHeader),
-                                 revisionIn(Answer, ChangedHeader)};
-        if (Mark.isNewsFor(mark(Name)) &&
-            !Handlers.Adopt(Name, Mark, Answer.Body))
-          FetchWhole.insert(Name);
+        if (End == gateway::exchange_end::Complete && Answer.Status == 200)
+          OnAnswer(Answer);
       });
 }
 
@@ -341,7 +393,10 @@
     const std::string Name =
         Request.Target.substr(DocumentPath.size(), Query - DocumentPath.size());
     const auto Known = Marks.find(Name);
-    if (Known != Marks.end()) {
+    if (Name == MembersName) {
+      Answer.Status = 200;
+      Answer.Body = membersText();
+    } else if (Known != Marks.end()) {
       std::uint64_t Since = 0;
       const std::string &Target = Request.Target;
       if (Query != std::string::npos)
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -19,6 +19,7 @@
 #include <string>
 
 namespace tarragon::gateway {
+struct exchange_answer;
 class caller_session;
 class http_connection;
 } // namespace tarragon::gateway
@@ -65,6 +66,9 @@
   /// this instance.
   auto readyPeers() const -> std::vector<instance>;
 
+  /// Live instances that are known, this one included.
+  auto live() const -> std::uint32_t { return LiveMembers; }
+
   /// The instances to name to callers; this one too if it is ready.
   auto serving() const -> std::vector<instance>;
 
@@ -88,8 +92,15 @@
   auto measureLoad() -> void;
   auto compareDocuments(const instance &From, const fleet_digest &Digest)
       -> void;
+  auto compareMembers(const instance &From, const fleet_digest &Digest) -> void;
   auto fetch(const std::string &Name, const instance &From) -> void;
+  auto fetchMembers(const instance &From) -> void;
+  /// Asks \p From for \p Name; \p OnAnswer gets nothing else than success.
+  auto ask(const instance &From, const std::string &Name, std::uint64_t Since,
+           std::function<void(const gateway::exchange_answer &)> OnAnswer)
+      -> void;
   auto ownDigest() const -> fleet_digest;
+  auto membersText() const -> std::string;
   auto membersChanged() -> void;
 
   boost::asio::io_context &Loop;
@@ -107,7 +118,10 @@
   std::map<std::string, document_mark> Marks;
   std::map<std::string, std::shared_ptr<gateway::http_connection>> Fetches;
   std::uint64_t KnownRevision = 0;
+  std::uint32_t LiveMembers = 1;
+  time_point MembersAskedAt;
   bool Ready = false;
+  std::set<endpoint> ToldNotReady; ///< since this instance last was ready
   double Load = 0;
   time_point SourceHeardAt;
   std::set<std::string> FetchWhole; ///< what changes alone didn't do for
--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -25,7 +25,8 @@
 /// One instance on a loopback address of its own.
 struct member {
   member(asio::io_context &Loop, const std::size_t Number,
-         const std::uint16_t Port, const std::vector<std::string> &Seeds)
+         const std::uint16_t Port, const std::vector<std::string> &Seeds,
+         const bool Ready)
       : Ip("127.0.1." + std::to_string(Number + 1)),
         Server(Loop,
                [this](const auto &Session, const auto &Request) {
@@ -43,7 +44,7 @@
     BOOST_REQUIRE(
         Server.listen({asio::ip::make_address(Ip), std::uint16_t(Port + 1)}));
     BOOST_REQUIRE(Link.start());
-    Link.setReady(true);
+    Link.setReady(Ready);
   }
 
   auto settings(const std::size_t Number, const std::uint16_t Port,
@@ -65,12 +66,13 @@
 };
 
 struct fleet_case {
-  explicit fleet_case(const std::size_t Count) {
+  explicit fleet_case(const std::size_t Count, const bool Ready = true) {
     asio::ip::tcp::acceptor Probe(Loop, {asio::ip::address_v4::loopback(), 0});
     const auto Port = Probe.local_endpoint().port();
     const std::vector<std::string> Seeds{"127.0.1.1", "127.0.1.2", "127.0.1.3"};
     for (std::size_t Number = 0; Number < Count; ++Number)
-      Members.push_back(std::make_unique<member>(Loop, Number, Port, Seeds));
+      Members.push_back(
+          std::make_unique<member>(Loop, Number, Port, Seeds, Ready));
   }
 
   template <class Predicate> auto runUntil(Predicate Done) -> bool {
@@ -121,6 +123,19 @@
   }));
 }
 
+// Load: a whole deployment starts and gets its routes a moment later.
+BOOST_AUTO_TEST_CASE(those_who_heard_not_ready_hear_ready_at_once) {
+  fleet_case Case(30, false);
+  BOOST_REQUIRE(
+      Case.runUntil([&] { return Case.Members[0]->Link.live() == 30; }));
+  for (const auto &Member : Case.Members)
+    Member->Link.setReady(true);
+  // No probe is waited for.
+  while (Case.Loop.poll() > 0) {
+  }
+  BOOST_TEST(Case.Members[0]->Link.readyPeers().size() == 29U);
+}
+
 // Load: a whole grown deployment starts at the same moment.
 BOOST_AUTO_TEST_CASE(seventy_one_join_at_once) {
   fleet_case Case(71);
--- a/src/fleet/types/fleetdigest.h
+++ b/src/fleet/types/fleetdigest.h
@@ -3,6 +3,7 @@
 #include "fleet/types/documentmark.h"
 #include "global/types/time.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -14,6 +15,7 @@
   milliseconds SourceSilence{0}; ///< since the source last answered it
   double Load = 0;               ///< cores it uses
   bool Ready = false;            ///< it serves callers
+  std::uint32_t Members = 0;     ///< live instances that it knows
 };
 
 } // namespace tarragon::fleet
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -200,6 +200,13 @@
   }
 }
 
+auto member_table::rows() const -> std::vector<member_update> {
+  std::vector<member_update> Rows{ownUpdate()};
+  for (const auto &[Id, Record] : Book.records())
+    Rows.push_back(Record.update());
+  return Rows;
+}
+
 auto member_table::digest() const -> std::uint64_t {
   return Book.digest() ^ memberDigest(Self, Leaving);
 }
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -37,6 +37,12 @@
   /// Says to all that this instance leaves; it stays in the table.
   auto leave(time_point Now) -> std::vector<outgoing_gossip>;
 
+  /// The whole table, for a peer that knows far fewer.
+  auto rows() const -> std::vector<member_update>;
+
+  /// Takes a peer's whole table; what is new here is no news to tell on.
+  auto takeRows(const std::vector<member_update> &Rows, time_point Now) -> void;
+
   /// Every instance known, itself included, by id.
   auto members() const -> std::vector<instance>;
 
@@ -83,7 +89,6 @@
   auto digest() const -> std::uint64_t;
 
   auto take(const member_update &Update, time_point Now) -> void;
-  auto takeRows(const std::vector<member_update> &Rows, time_point Now) -> void;
   auto takeOther(const member_update &Update, time_point Now)
       -> member_book::change;
   auto takeOwn(const member_update &Update) -> void;
--- a/src/membership/tests/membertable_tests.cpp
+++ b/src/membership/tests/membertable_tests.cpp
@@ -302,3 +302,17 @@
   Table.onMessage(Ping, Network.now());
   BOOST_TEST((Network.stateAt("n0", "n2") == instance_state::Leaving));
 }
+BOOST_AUTO_TEST_CASE(a_young_one_takes_a_whole_table) {
+  auto Network = settled(1, 40);
+  tarragon::membership::member_table Young(numbered(77), Settings, 1,
+                                           Network.now());
+  Young.takeRows(Network.table("n0").rows(), Network.now());
+  BOOST_TEST(Young.members().size() == 41U);
+  // What it already knew better stays.
+  Network.leave("n2");
+  Young.takeRows(Network.table("n2").rows(), Network.now());
+  Young.takeRows(Network.table("n0").rows(), Network.now());
+  for (const auto &Member : Young.members())
+    if (Member.Id == "n2")
+      BOOST_TEST((Member.State == instance_state::Leaving));
+}
