--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -19,6 +19,9 @@
 
 namespace asio = boost::asio;
 
+/// Seeds that start at the same moment are greeted often until they answer.
+constexpr milliseconds YoungGreetPeriod{100};
+constexpr milliseconds Young{1000};
 constexpr milliseconds GreetPeriod{400};
 constexpr milliseconds FetchTimeout{1000};
 constexpr std::string_view DocumentPath = "/documents/";
@@ -99,7 +102,7 @@
       Table(Settings.Self, tableSettings(), hash64(Settings.Self.Id), now()),
       Duty(Settings.Self.Id, Settings.Self.Capacity), Socket(NewLoop),
       WakeTimer(NewLoop), GreetTimer(NewLoop), LoadTimer(NewLoop),
-      SourceHeardAt(now() - std::chrono::hours(1)),
+      StartedAt(now()), SourceHeardAt(now() - std::chrono::hours(1)),
       Random(hash64(Settings.Self.Id)) {}
 
 fleet_link::~fleet_link() {
@@ -189,7 +192,8 @@
       if (Ip != splitAddress(Settings.Self.PeerAddress).Host)
         sendTo(endpointOf<asio::ip::udp>({Ip, Port}), Greeting);
   }
-  GreetTimer.expires_after(GreetPeriod);
+  GreetTimer.expires_after(now() < StartedAt + Young ? YoungGreetPeriod
+                                                     : GreetPeriod);
   GreetTimer.async_wait([this](const boost::system::error_code &Error) {
     if (!Error)
       greetSeeds();
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -132,6 +132,7 @@
   bool Ready = false;
   std::set<endpoint> ToldNotReady; ///< since this instance last was ready
   double Load = 0;
+  time_point StartedAt;
   time_point SourceHeardAt;
   std::set<std::string> FetchWhole; ///< what changes alone didn't do for
   std::mt19937_64 Random;
