--- a/src/ctl/commandrunner.h
+++ b/src/ctl/commandrunner.h
@@ -41,6 +41,8 @@
       return view("/admin/v1/snapshots");
     case command::Burn:
       return view("/admin/v1/burn");
+    case command::Targets:
+      return view("/status");
     case command::Help:
       return Report.helped();
     }
--- a/src/ctl/internal/commandline.cpp
+++ b/src/ctl/internal/commandline.cpp
@@ -39,6 +39,9 @@
                 "the index version each contract is served from"},
     command_row{"burn", command::Burn, "", true,
                 "how fast objectives use up their error budgets"},
+    command_row{"targets", command::Targets, "", true,
+                "what tarragon-entry at the metrics address given believes of "
+                "its targets"},
 };
 
 constexpr std::string_view ExitCodes =
--- a/src/ctl/internal/reporting.cpp
+++ b/src/ctl/internal/reporting.cpp
@@ -63,6 +63,8 @@
     return snapshotsText(Body);
   case command::Burn:
     return burnText(Body);
+  case command::Targets:
+    return targetsText(Body);
   case command::Query:
     return queryText(Body);
   case command::Apply:
--- a/src/ctl/internal/views.cpp
+++ b/src/ctl/internal/views.cpp
@@ -120,6 +120,27 @@
   return Table.text();
 }
 
+auto targetsText(const Json::Value &Body) -> std::string {
+  text_table Table({"TARGET", "SERVICE", "DOMAIN", "STANDING", "BLOCKED MS",
+                    "SLOWNESS", "REFUSALS", "AT WORK"});
+  for (const Json::Value &Row : listOf(Body, "targets"))
+    Table.add({textOf(Row, "target"), textOf(Row, "service"),
+               textOf(Row, "failure_domain"), textOf(Row, "standing"),
+               textOf(Row, "blocked_ms"), textOf(Row, "slowness"),
+               textOf(Row, "refusals"), textOf(Row, "outstanding")});
+  std::string Text = "instance " + textOf(Body, "instance") + ", version " +
+                     textOf(Body, "version") + " in force, " +
+                     textOf(Body, "at_hand") + " requests at hand, " +
+                     textOf(Body, "live") + " instances live\n";
+  if (textOf(Body, "stopping") == "true")
+    Text += "stopping\n";
+  for (const Json::Value &Crash : listOf(Body, "crashes"))
+    Text += "request " + textOf(Crash, "fingerprint") + " crashed " +
+            textOf(Crash, "target") +
+            (textOf(Crash, "held") == "true" ? ", held\n" : "\n");
+  return Text + Table.text();
+}
+
 auto planText(const Json::Value &Body) -> std::string {
   const std::string Differences = differencesText(Body);
   const std::string Base = textOf(Body, "base");
--- a/src/ctl/tests/command_tests.cpp
+++ b/src/ctl/tests/command_tests.cpp
@@ -74,6 +74,23 @@
   BOOST_TEST(Faulty.Link.Calls.empty());
 }
 
+BOOST_AUTO_TEST_CASE(targets_are_shown_with_why_they_are_left_alone) {
+  session Targets(command::Targets, [](const entry_call &) {
+    return replied(
+        R"({"instance":"n1","version":7,"at_hand":3,"live":6,"stopping":true,)"
+        R"("crashes":[{"fingerprint":"99","target":"t2","held":true}],)"
+        R"("targets":[{"target":"t1","service":"s","failure_domain":"z",)"
+        R"("standing":"silent","blocked_ms":0,"slowness":1.5,"refusals":0,)"
+        R"("outstanding":2}]})");
+  });
+  BOOST_TEST((Targets.run() == exit_code::Ok));
+  BOOST_TEST(Targets.Link.Calls[0].Path == "/status");
+  BOOST_TEST(Targets.shows("version 7 in force, 3 requests at hand"));
+  BOOST_TEST(Targets.shows("stopping"));
+  BOOST_TEST(Targets.shows("request 99 crashed t2, held"));
+  BOOST_TEST(Targets.shows("silent"));
+}
+
 BOOST_AUTO_TEST_CASE(reading_goes_on_to_the_next_entry) {
   session Status(command::Status, [](const entry_call &Call) {
     return Call.Entry == "one" ? notSent() : replied(statusBody(8, 7));
--- a/src/ctl/types/ctloptions.h
+++ b/src/ctl/types/ctloptions.h
@@ -20,6 +20,7 @@
   Drain,
   Snapshot,
   Burn,
+  Targets,
   Help
 };
 
--- a/src/ctl/views.h
+++ b/src/ctl/views.h
@@ -19,6 +19,7 @@
 auto entriesText(const Json::Value &Body) -> std::string;
 auto snapshotsText(const Json::Value &Body) -> std::string;
 auto burnText(const Json::Value &Body) -> std::string;
+auto targetsText(const Json::Value &Body) -> std::string;
 auto planText(const Json::Value &Body) -> std::string;
 auto applyText(const Json::Value &Body) -> std::string;
 auto queryText(const Json::Value &Body) -> std::string;
--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -36,12 +36,28 @@
   return Digest;
 }
 
+auto writeCrash(const admission::crash_report &Report) -> Json::Value {
+  Json::Value Value;
+  Value["fingerprint"] = Json::UInt64{Report.Fingerprint};
+  Value["target"] = Report.Target;
+  Value["apart"] = Report.Apart;
+  Value["age_ms"] = Json::Int64{Report.Age.count()};
+  return Value;
+}
+
+auto readCrash(const Json::Value &Value) -> admission::crash_report {
+  return {Value["fingerprint"].asUInt64(), Value["target"].asString(),
+          Value["apart"].asBool(), milliseconds(Value["age_ms"].asInt64())};
+}
+
 } // namespace
 
 auto writeDatagram(const fleet_datagram &Datagram) -> std::string {
   Json::Value Value;
   Value["gossip"] = membership::writeGossip(Datagram.Gossip);
   Value["digest"] = writeDigest(Datagram.Digest);
+  for (const admission::crash_report &Report : Datagram.Crashes)
+    Value["crashes"].append(writeCrash(Report));
   return writeJson(Value);
 }
 
@@ -52,8 +68,12 @@
     return std::nullopt;
   const Json::Value &Value = Parsed.value();
   try {
-    return fleet_datagram{membership::readGossip(Value["gossip"]),
-                          readDigest(Value["digest"])};
+    fleet_datagram Datagram{membership::readGossip(Value["gossip"]),
+                            readDigest(Value["digest"]),
+                            {}};
+    for (const Json::Value &Report : Value["crashes"])
+      Datagram.Crashes.push_back(readCrash(Report));
+    return Datagram;
   } catch (const Json::Exception &) {
     return std::nullopt;
   }
--- a/src/fleet/fleetcodec.h
+++ b/src/fleet/fleetcodec.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "admission/types/crashreport.h"
 #include "fleet/types/fleetdigest.h"
 #include "membership/types/gossipmessage.h"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tarragon::fleet {
 
@@ -13,6 +15,7 @@
 struct fleet_datagram {
   membership::gossip_message Gossip;
   fleet_digest Digest;
+  std::vector<admission::crash_report> Crashes; ///< seen by the sender
 };
 
 auto writeDatagram(const fleet_datagram &Datagram) -> std::string;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -148,6 +148,8 @@
   Digests[From.Id] = Datagram->Digest;
   send(Table.onMessage(Datagram->Gossip, now()));
   membersChanged();
+  for (const admission::crash_report &Report : Datagram->Crashes)
+    Handlers.OnCrash(Report);
   compareDocuments(From, Datagram->Digest);
   compareMembers(From, Datagram->Digest);
 }
@@ -208,8 +210,10 @@
 }
 
 auto fleet_link::sendTo(const endpoint &To,
-                        const membership::gossip_message &Message) -> void {
-  const std::string Text = writeDatagram({Message, ownDigest()});
+                        const membership::gossip_message &Message,
+                        std::vector<admission::crash_report> Crashes) -> void {
+  const std::string Text =
+      writeDatagram({Message, ownDigest(), std::move(Crashes)});
   if (!Ready)
     ToldNotReady.insert(To);
   boost::system::error_code Ignored; // a lost datagram is no failure
@@ -259,6 +263,13 @@
     sendTo(endpointOf<asio::ip::udp>(splitAddress(Member.PeerAddress)), news());
 }
 
+auto fleet_link::tellCrash(const admission::crash_report &Report) -> void {
+  for (const instance &Member : serving())
+    if (Member.Id != Settings.Self.Id)
+      sendTo(endpointOf<asio::ip::udp>(splitAddress(Member.PeerAddress)),
+             news(), {Report});
+}
+
 auto fleet_link::news() const -> membership::gossip_message {
   membership::gossip_message News;
   // An answer to nothing, so that nobody answers it.
@@ -385,7 +396,7 @@
   membership::gossip_message Message;
   Message.From = Settings.Self;
   Message.Rows = Table.rows();
-  return writeDatagram({Message, ownDigest()});
+  return writeDatagram({Message, ownDigest(), {}});
 }
 
 auto fleet_link::fetch(const std::string &Name, const instance &From) -> void {
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -42,6 +42,8 @@
     std::function<double()> Load;
     /// Who is alive, or who serves, may have changed.
     std::function<void()> OnMembers;
+    /// A peer saw a target crash under a request.
+    std::function<void(const admission::crash_report &)> OnCrash;
   };
 
   fleet_link(boost::asio::io_context &Loop, fleet_settings Settings,
@@ -74,6 +76,9 @@
 
   auto mustWatch() const -> bool;
 
+  /// Tells those that serve callers of a crash seen here.
+  auto tellCrash(const admission::crash_report &Report) -> void;
+
   /// Answers a peer that asks for a document.
   auto onRequest(const std::shared_ptr<gateway::caller_session> &Session,
                  const gateway::caller_request &Request) -> void;
@@ -82,8 +87,8 @@
   using endpoint = boost::asio::ip::udp::endpoint;
 
   auto send(const std::vector<membership::outgoing_gossip> &Messages) -> void;
-  auto sendTo(const endpoint &To, const membership::gossip_message &Message)
-      -> void;
+  auto sendTo(const endpoint &To, const membership::gossip_message &Message,
+              std::vector<admission::crash_report> Crashes = {}) -> void;
   auto receive() -> void;
   auto onDatagram(std::string_view Text) -> void;
   auto arrangeWake() -> void;
--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -42,7 +42,10 @@
                 Link.setMark(Name, Mark);
                 return true;
               },
-              [] { return 0.1; }, [] {}}) {
+              [] { return 0.1; }, [] {},
+              [this](const tarragon::admission::crash_report &Report) {
+                Crashes.push_back(Report);
+              }}) {
     BOOST_REQUIRE(
         Server.listen({asio::ip::make_address(Ip), std::uint16_t(Port + 1)}));
     BOOST_REQUIRE(Link.start());
@@ -64,6 +67,7 @@
   std::string Ip;
   std::string Document;
   bool Reads = true; ///< it can take peers' copies
+  std::vector<tarragon::admission::crash_report> Crashes; ///< told by peers
   gateway::http_server Server;
   fleet_link Link;
 };
@@ -126,6 +130,21 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(a_crash_is_told_to_those_that_serve) {
+  fleet_case Case(4);
+  BOOST_REQUIRE(Case.runUntil([&] { return Case.allKnow(3); }));
+  const tarragon::admission::crash_report Report{77, "t1", true, 0ms};
+  Case.Members[2]->Link.tellCrash(Report);
+  BOOST_TEST(Case.runUntil([&] {
+    return std::all_of(
+        Case.Members.begin(), Case.Members.end(), [&](const auto &Member) {
+          return Member == Case.Members[2] ||
+                 (!Member->Crashes.empty() && Member->Crashes[0] == Report);
+        });
+  }));
+  BOOST_TEST(Case.Members[2]->Crashes.empty());
+}
+
 // Once peers' copies couldn't be read, and nobody asked the source instead.
 BOOST_AUTO_TEST_CASE(who_stays_behind_its_peers_asks_the_source_itself) {
   fleet_case Case(6);
--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -345,8 +345,7 @@
   Metrics.summary("tarragon_request_seconds", {{"kind", Kind}})
       .observe(std::chrono::duration_cast<microseconds>(
           Now - Origin.Request.ReceivedAt));
-  const std::string Missing = missingParts();
-  if (Finish.Verdict == plan_verdict::Answer && Missing.empty())
+  if (Finish.Verdict == plan_verdict::Answer && Plan.isWhole())
     return;
   log::write(log::level::Info, log::part::Query,
              Finish.Verdict == plan_verdict::Answer ? "answer lacks parts"
@@ -357,7 +356,7 @@
               {"verdict", Verdict},
               {"status", std::to_string(Answer.Status)},
               {"attempts", attemptsText()},
-              {"missing", Missing},
+              {"missing", missingParts()},
               {"ms", millisecondsSince(Origin.Request.ReceivedAt, Now)}});
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,6 +91,18 @@
   warmPools();
 }
 
+auto gateway::routes() const -> const std::vector<route::route> & {
+  static const std::vector<route::route> None;
+  return Table ? Table->set().Routes : None;
+}
+
+auto gateway::setRetries(const placement::retry_limits &Retries) -> void {
+  Settings.Retries = Retries;
+  placement::retry_limits Limits = Retries;
+  Limits.Instances = Budgets.limits().Instances;
+  Budgets.setLimits(Limits);
+}
+
 auto gateway::setShare(const instance_share NewShare) -> void {
   const auto Now = std::chrono::steady_clock::now();
   // What a lost instance has spent still counts in the window.
@@ -245,8 +257,11 @@
     const auto Ended = Probe.lock();
     if (!Ended || Ended->connected())
       return;
-    Poison.recordCrash({Request, Target, true, milliseconds(0)},
-                       std::chrono::steady_clock::now());
+    const admission::crash_report Report{Request, Target, true,
+                                         milliseconds(0)};
+    Poison.recordCrash(Report, std::chrono::steady_clock::now());
+    if (CrashHandler)
+      CrashHandler(Report);
     log::write(log::level::Info, log::part::Admission,
                "target crashed under a request",
                {{"target", Target}, {"fingerprint", std::to_string(Request)}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "route/routetable.h"
 #include "route/weightedturns.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,6 +31,7 @@
 class gateway {
 public:
   using session_pointer = std::shared_ptr<caller_session>;
+  using crash_handler = std::function<void(const admission::crash_report &)>;
 
   gateway(boost::asio::io_context &Loop, gateway_settings Settings,
           report::metrics_registry &Metrics);
@@ -38,6 +40,12 @@
   /// Puts \p Routes in force unless a higher version is.
   auto setRoutes(std::shared_ptr<const route::route_set> Routes) -> void;
 
+  /// The routes in force.
+  auto routes() const -> const std::vector<route::route> &;
+
+  /// What was learned of requests on \p Route.
+  auto latencies(const route::route &Route) -> placement::latency_model &;
+
   /// The version in force, or 0.
   auto version() const -> std::uint64_t;
 
@@ -80,6 +88,14 @@
   /// About \p Time, for callers that are told to come back.
   auto jittered(milliseconds Time) -> milliseconds;
 
+  /// To be called when a target crashed under a request.
+  auto setCrashHandler(crash_handler NewHandler) -> void {
+    CrashHandler = std::move(NewHandler);
+  }
+
+  /// The limits on extra attempts that all instances share.
+  auto setRetries(const placement::retry_limits &Retries) -> void;
+
   /// An active request has its answer.
   auto release(const std::shared_ptr<active_request> &Request) -> void;
 
@@ -92,7 +108,6 @@
 
   auto refuse(const session_pointer &Session, const caller_request &Request,
               const refusal &Refusal) -> void;
-  auto latencies(const route::route &Route) -> placement::latency_model &;
   auto waitOf(const caller_request &Request, const route::route &Route) const
       -> milliseconds;
   auto planFor(const route::route &Route, const caller_request &Request)
@@ -113,6 +128,7 @@
   std::shared_ptr<const route::route_table> Table;
   std::map<std::string, placement::latency_model> Latencies; ///< by route
   std::mt19937_64 Random;
+  crash_handler CrashHandler;
   std::unordered_map<std::string, std::unique_ptr<target_pool>> Pools;
   std::unordered_set<std::shared_ptr<active_request>> Active;
   placement::latency_model Lateness{milliseconds(0)};
--- /dev/null
+++ b/src/gateway/statusview.cpp
@@ -0,0 +1,122 @@
+#include "gateway/statusview.h"
+
+#include "gateway/gateway.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragon::gateway {
+
+namespace {
+
+constexpr std::size_t MostCrashes = 32;
+constexpr double Tail = 0.99;
+constexpr double Decimals = 100;
+
+auto rounded(const double Value) -> Json::Value {
+  return std::round(Value * Decimals) / Decimals;
+}
+
+auto inMilliseconds(const microseconds Time) -> Json::Value {
+  return rounded(std::chrono::duration<double, std::milli>(Time).count());
+}
+
+auto viewRoutes(gateway &Gateway) -> Json::Value {
+  Json::Value Rows(Json::arrayValue);
+  for (const route::route &Route : Gateway.routes()) {
+    const placement::latency_model &Latencies = Gateway.latencies(Route);
+    Json::Value Row;
+    Row["route"] = Route.Name;
+    Row["typical_ms"] = inMilliseconds(Latencies.typical());
+    Row["tail_ms"] = inMilliseconds(Latencies.quantile(Tail));
+    Rows.append(std::move(Row));
+  }
+  return Rows;
+}
+
+auto viewTarget(gateway &Gateway, const route::target_entry &Entry,
+                const microseconds Typical, const time_point Now)
+    -> Json::Value {
+  const placement::target_belief Belief =
+      Gateway.targets().state(Entry.Id).belief(Typical, Now);
+  Json::Value Row;
+  Row["target"] = Entry.Id;
+  Row["service"] = Entry.Service;
+  Row["failure_domain"] = Entry.FailureDomain;
+  Row["standing"] =
+      Entry.Draining ? "leaving" : std::string(name(Belief.Standing));
+  Row["blocked_ms"] = Json::Int64{Belief.BlockedFor.count()};
+  Row["slowness"] = rounded(Belief.Slowness);
+  Row["refusals"] = rounded(Belief.Refusals);
+  Row["outstanding"] = Belief.Outstanding;
+  return Row;
+}
+
+auto viewBudget(gateway &Gateway, const std::string &Service,
+                const time_point Now) -> Json::Value {
+  placement::retry_budget &Budget = Gateway.budgets().of(Service);
+  Json::Value Row;
+  Row["service"] = Service;
+  Row["hedges_left"] =
+      rounded(Budget.left(placement::extra_purpose::Hedge, Now));
+  Row["retries_left"] =
+      rounded(Budget.left(placement::extra_purpose::Retry, Now));
+  return Row;
+}
+
+auto viewCrashes(gateway &Gateway, const time_point Now) -> Json::Value {
+  Json::Value Rows(Json::arrayValue);
+  for (const admission::crash_report &Report :
+       Gateway.poison().reports(MostCrashes, Now)) {
+    Json::Value Row;
+    Row["fingerprint"] = std::to_string(Report.Fingerprint);
+    Row["target"] = Report.Target;
+    Row["held"] = Gateway.poison().verdict(Report.Fingerprint, Now) ==
+                  admission::poison_verdict::Held;
+    Rows.append(std::move(Row));
+  }
+  return Rows;
+}
+
+auto leadsTo(const route::route &Route, const std::string &Service) -> bool {
+  const bool IsShard = std::find(Route.Shards.begin(), Route.Shards.end(),
+                                 Service) != Route.Shards.end();
+  return IsShard || std::any_of(Route.Services.begin(), Route.Services.end(),
+                                [&Service](const auto &Part) {
+                                  return Part.Service == Service;
+                                });
+}
+
+/// The usual latency of any route to \p Service; beliefs of its targets are
+/// told against it.
+auto typicalOf(gateway &Gateway, const std::string &Service) -> microseconds {
+  for (const route::route &Route : Gateway.routes())
+    if (leadsTo(Route, Service))
+      return Gateway.latencies(Route).typical();
+  return milliseconds(1);
+}
+
+} // namespace
+
+auto viewStatus(gateway &Gateway, const time_point Now) -> Json::Value {
+  Json::Value Value;
+  Value["version"] = Json::UInt64{Gateway.version()};
+  Value["at_hand"] = Json::UInt64{Gateway.requestsAtHand()};
+  Value["routes"] = viewRoutes(Gateway);
+  Value["targets"] = Json::Value(Json::arrayValue);
+  Value["budgets"] = Json::Value(Json::arrayValue);
+  std::string Service;
+  for (const route::target_entry *Entry : Gateway.targets().book().all()) {
+    const microseconds Typical = typicalOf(Gateway, Entry->Service);
+    Value["targets"].append(viewTarget(Gateway, *Entry, Typical, Now));
+    if (Entry->Service != Service)
+      Value["budgets"].append(viewBudget(Gateway, Entry->Service, Now));
+    Service = Entry->Service;
+  }
+  Value["crashes"] = viewCrashes(Gateway, Now);
+  return Value;
+}
+
+} // namespace tarragon::gateway
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -316,6 +316,11 @@
   }
 }
 
+auto request_plan::isWhole() const -> bool {
+  return std::all_of(Parts.begin(), Parts.end(),
+                     [](const part &Part) { return Part.Answered; });
+}
+
 auto request_plan::extraAttempts() const -> std::size_t {
   std::size_t Extra = 0;
   for (const part &Part : Parts)
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -51,6 +51,9 @@
   auto settings() const -> const plan_settings & { return Settings; }
   auto finished() const -> bool { return Finished; }
 
+  /// Whether every part was answered.
+  auto isWhole() const -> bool;
+
   /// Attempts beyond the first of each part.
   auto extraAttempts() const -> std::size_t;
 
--- a/src/placement/targetstate.cpp
+++ b/src/placement/targetstate.cpp
@@ -140,4 +140,21 @@
          Usual * RefusalWeight * refusals(Now);
 }
 
+auto target_state::belief(const microseconds Typical,
+                          const time_point Now) const -> target_belief {
+  target_belief Belief;
+  if (Now < BlockedUntil)
+    Belief.Standing = target_standing::Blocked;
+  else if (silent(Typical, Now))
+    Belief.Standing = target_standing::Silent;
+  else if (Outstanding >= MostOutstanding)
+    Belief.Standing = target_standing::Full;
+  Belief.Slowness = slowness(Now);
+  Belief.Refusals = refusals(Now);
+  Belief.Outstanding = Outstanding;
+  if (Now < BlockedUntil)
+    Belief.BlockedFor = std::chrono::ceil<milliseconds>(BlockedUntil - Now);
+  return Belief;
+}
+
 } // namespace tarragon::placement
--- a/src/placement/targetstate.h
+++ b/src/placement/targetstate.h
@@ -2,6 +2,7 @@
 
 #include "global/types/time.h"
 #include "placement/types/attemptend.h"
+#include "placement/types/targetbelief.h"
 
 #include <optional>
 
@@ -48,6 +49,8 @@
   /// What a request should expect to wait, for comparison between targets.
   auto cost(microseconds Typical, time_point Now) const -> double;
 
+  auto belief(microseconds Typical, time_point Now) const -> target_belief;
+
   /// When it gets work again if it is blocked for its failures.
   auto blockedUntil() const -> time_point { return BlockedUntil; }
 
--- a/src/route/targetbook.cpp
+++ b/src/route/targetbook.cpp
@@ -1,5 +1,7 @@
 #include "route/targetbook.h"
 
+#include <algorithm>
+
 #include <set>
 #include <tuple>
 
@@ -84,6 +86,17 @@
   return Known == Usable.end() ? None : Known->second;
 }
 
+auto target_book::all() const -> std::vector<const target_entry *> {
+  std::vector<const target_entry *> All;
+  for (const auto &[Id, Record] : Entries)
+    All.push_back(&Record.Entry);
+  std::stable_sort(All.begin(), All.end(),
+                   [](const target_entry *Left, const target_entry *Right) {
+                     return Left->Service < Right->Service;
+                   });
+  return All;
+}
+
 auto target_book::index() -> void {
   Usable.clear();
   for (const auto &[Id, Record] : Entries)
--- a/src/route/targetbook.h
+++ b/src/route/targetbook.h
@@ -42,6 +42,9 @@
   auto usable(const std::string &Service) const
       -> const std::vector<const target_entry *> &;
 
+  /// All that are known, those that leave too, by service.
+  auto all() const -> std::vector<const target_entry *>;
+
   auto size() const -> std::size_t { return Entries.size(); }
 
 private:
