--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -6,7 +6,9 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <memory>
+#include <random>
 #include <vector>
 
 using namespace std::chrono_literals;
@@ -187,4 +189,27 @@
              tarragon::fleet::FewestServing);
 }
 
+BOOST_AUTO_TEST_CASE(foreign_datagrams_end_no_process) {
+  tarragon::fleet::fleet_datagram Datagram;
+  Datagram.Gossip.From.Id = "i1";
+  Datagram.Gossip.Updates = {{Datagram.Gossip.From, 3, true}};
+  Datagram.Gossip.Rows = Datagram.Gossip.Updates;
+  Datagram.Digest.Documents["routes"] = {12, 10};
+  Datagram.Crashes = {{77, "t1", true, 5ms}};
+  const std::string Good = tarragon::fleet::writeDatagram(Datagram);
+  const auto Back = tarragon::fleet::readDatagram(Good);
+  BOOST_REQUIRE(Back.has_value());
+  BOOST_TEST((Back->Crashes == Datagram.Crashes));
+  BOOST_TEST(Back->Gossip.Updates.size() == 1U);
+  std::mt19937_64 Random(37);
+  int Read = 0;
+  for (int Round = 0; Round < 5000; ++Round) {
+    std::string Text = Good;
+    for (int Change = 0; Change < 3; ++Change)
+      Text[Random() % Text.size()] = static_cast<char>(Random());
+    Read += tarragon::fleet::readDatagram(Text) ? 1 : 0;
+  }
+  BOOST_TEST(Read < 5000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
