--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -2,6 +2,7 @@
 #include "fleet/servingset.h"
 #include "gateway/callersession.h"
 #include "gateway/httpserver.h"
+#include "gateway/tests/scriptedpeer.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/test/unit_test.hpp>
@@ -21,9 +22,6 @@
 
 namespace asio = boost::asio;
 
-/// Only a hang takes so long.
-constexpr std::chrono::seconds HangTime{180};
-
 /// One instance on a loopback address of its own.
 struct member {
   member(asio::io_context &Loop, const std::size_t Number,
@@ -85,13 +83,7 @@
   }
 
   template <class Predicate> auto runUntil(Predicate Done) -> bool {
-    const auto GiveUp = std::chrono::steady_clock::now() + HangTime;
-    while (!Done()) {
-      if (std::chrono::steady_clock::now() > GiveUp)
-        return false;
-      Loop.run_one_for(20ms);
-    }
-    return true;
+    return tarragon::gateway::runUntil(Loop, Done);
   }
 
   auto allKnow(const std::size_t Peers) const -> bool {
