Crashes of many targets at once hold no request

Change: what crashes within 0.2 s is one group. Only a request that ran on every target of the group is a suspect, and the group is one crash for it. Ruled out: telling crashes to peers as the cause (one instance's own two reports are enough). Figures: gateway_tests crashes_all_at_once_hold_no_request fails before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -176,8 +176,17 @@
   return *Pool;
 }
 
+auto gateway::judgeCrashes(const time_point Now) -> void {
+  for (const admission::crash_report &Report : Crashes.take(Now)) {
+    Poison.recordCrash(Report, Now);
+    if (CrashHandler)
+      CrashHandler(Report);
+  }
+}
+
 auto gateway::sweep() -> void {
   const auto Now = std::chrono::steady_clock::now();
+  judgeCrashes(Now);
   for (auto &[Id, Pool] : Pools)
     Pool->sweep(Now);
   if (Table && !Warmed && Now >= WarmFrom && Now >= ShareChanged + LearnPeers) {
@@ -257,11 +266,7 @@
     const auto Ended = Probe.lock();
     if (!Ended || Ended->connected())
       return;
-    const admission::crash_report Report{Request, Target, true,
-                                         milliseconds(0)};
-    Poison.recordCrash(Report, std::chrono::steady_clock::now());
-    if (CrashHandler)
-      CrashHandler(Report);
+    Crashes.add(Target, Request, std::chrono::steady_clock::now());
     log::write(log::level::Info, log::part::Admission,
                "target crashed under a request",
                {{"target", Target}, {"fingerprint", std::to_string(Request)}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/crashgroups.h"
 #include "admission/poisontracker.h"
 #include "gateway/targetpool.h"
 #include "gateway/types/callerrequest.h"
@@ -115,6 +116,7 @@
   auto usualLateness() const -> microseconds;
   auto endsTooSoon(const route::route &Route, time_point Now) -> bool;
   auto sweep() -> void;
+  auto judgeCrashes(time_point Now) -> void;
   auto warmPools() -> void;
   auto reportTargets(const route::target_book::changes &Changes) -> void;
 
@@ -123,6 +125,7 @@
   report::metrics_registry &Metrics;
   placement::target_set Targets;
   placement::retry_budget_table Budgets;
+  admission::crash_groups Crashes;
   admission::poison_tracker Poison;
   route::weighted_turns Turns;
   std::shared_ptr<const route::route_table> Table;
--- a/src/gateway/tests/crashes_tests.cpp
+++ b/src/gateway/tests/crashes_tests.cpp
@@ -45,6 +45,25 @@
   }));
 }
 
+// Load: the targets of two shards crash at once; once a query that ran on both
+// was held, and its caller's next try refused.
+BOOST_AUTO_TEST_CASE(crashes_all_at_once_hold_no_request) {
+  gateway_case Case;
+  std::vector<scripted_server *> All;
+  for (const std::string Shard : {"s0", "s1"})
+    All.push_back(&Case.target("t" + Shard, Shard, [&](const std::string &) {
+      for (scripted_server *Server : All)
+        Server->stopListening();
+      return scripted_server::reaction{"", false, true};
+    }));
+  Case.routes();
+  Case.get("/all/1");
+  Case.Loop.run_for(500ms);
+  BOOST_TEST((Case.Gateway.poison().verdict(hash64("GET h.example/all/1\n"),
+                                            std::chrono::steady_clock::now()) !=
+              admission::poison_verdict::Held));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_is_held) {
   gateway_case Case;
   std::vector<scripted_server *> All;
