--- /dev/null
+++ b/src/fleet/fleetdocuments.cpp
@@ -0,0 +1,188 @@
+// The half of fleet_link that asks peers for documents and answers them.
+#include "fleet/fleetlink.h"
+
+#include "fleet/internal/hostport.h"
+#include "gateway/callersession.h"
+#include "gateway/httpconnection.h"
+#include "global/deflate.h"
+#include "global/log.h"
+
+#include <charconv>
+
+namespace tarragon::fleet {
+
+namespace {
+
+namespace asio = boost::asio;
+using internal::endpointOf;
+using internal::host_port;
+using internal::splitAddress;
+
+constexpr milliseconds FetchTimeout{1000};
+constexpr std::string_view DocumentPath = "/documents/";
+constexpr std::string_view AsOfHeader = "As-Of";
+constexpr std::string_view ChangedHeader = "Changed";
+constexpr std::size_t MostDocumentBytes = 67108864;
+constexpr std::string_view EncodingHeader = "Content-Encoding";
+constexpr std::string_view Deflate = "deflate";
+constexpr std::string_view SinceParameter = "?since=";
+/// All that an instance knows of its peers; a document of its own kind.
+constexpr std::string_view MembersName = "members";
+/// A peer that knows so many times the members is asked for all of them.
+constexpr double FarMore = 1.05;
+constexpr milliseconds MembersPause{300};
+
+auto now() -> time_point { return std::chrono::steady_clock::now(); }
+
+/// The revision in \p Target behind the parameter at \p At, or 0.
+auto sinceIn(const std::string &Target, const std::size_t At) -> std::uint64_t {
+  std::uint64_t Since = 0;
+  if (At != std::string::npos)
+    std::from_chars(Target.data() + At + SinceParameter.size(),
+                    Target.data() + Target.size(), Since);
+  return Since;
+}
+
+auto revisionIn(const gateway::exchange_answer &Answer,
+                const std::string_view Name) -> std::uint64_t {
+  std::uint64_t Revision = 0;
+  if (const std::string *Text = Answer.find(Name))
+    std::from_chars(Text->data(), Text->data() + Text->size(), Revision);
+  return Revision;
+}
+
+} // namespace
+
+auto fleet_link::compareDocuments(const instance &From,
+                                  const fleet_digest &Digest) -> void {
+  for (const auto &[Name, Mark] : Digest.Documents) {
+    if (!Mark.isNewsFor(mark(Name)))
+      continue;
+    BehindSince.try_emplace(Name, now());
+    if (!Fetches.count(Name))
+      fetch(Name, From);
+  }
+}
+
+auto fleet_link::compareMembers(const instance &From,
+                                const fleet_digest &Digest) -> void {
+  const time_point Now = now();
+  if (Digest.Members <= LiveMembers * FarMore ||
+      Now - MembersAskedAt < MembersPause)
+    return;
+  MembersAskedAt = Now;
+  fetchMembers(From);
+}
+
+auto fleet_link::fetchMembers(const instance &From) -> void {
+  ask(From, std::string(MembersName), 0,
+      [this](const gateway::exchange_answer &Answer) {
+        const auto Told = readDatagram(Answer.Body);
+        if (!Told)
+          return;
+        Table.takeRows(Told->Gossip.Rows, now());
+        membersChanged();
+      });
+}
+
+auto fleet_link::membersText() const -> std::string {
+  membership::gossip_message Message;
+  Message.From = Settings.Self;
+  Message.Rows = Table.rows();
+  return writeDatagram({Message, ownDigest(), {}});
+}
+
+auto fleet_link::fetch(const std::string &Name, const instance &From) -> void {
+  const auto Since = FetchWhole.erase(Name) > 0 ? 0 : mark(Name).AsOf;
+  ask(From, Name, Since, [this, Name](const gateway::exchange_answer &Answer) {
+    const document_mark Mark{revisionIn(Answer, AsOfHeader),
+                             revisionIn(Answer, ChangedHeader)};
+    if (!Mark.isNewsFor(mark(Name)))
+      return;
+    Adopting = true;
+    if (!Handlers.Adopt(Name, Mark, Answer.Body))
+      FetchWhole.insert(Name);
+    Adopting = false;
+  });
+}
+
+auto fleet_link::ask(
+    const instance &From, const std::string &Name, const std::uint64_t Since,
+    std::function<void(const gateway::exchange_answer &)> OnAnswer) -> void {
+  host_port Server = splitAddress(From.PeerAddress);
+  Server.Port = Settings.DocumentPort;
+  auto Connection = std::make_shared<gateway::http_connection>(
+      Loop, endpointOf<asio::ip::tcp>(Server), FetchTimeout);
+  Fetches[Name] = Connection;
+  auto Timer = std::make_shared<asio::steady_timer>(Loop, FetchTimeout);
+  Timer->async_wait(
+      [this, Name, Connection](const boost::system::error_code &Error) {
+        const auto Known = Fetches.find(Name);
+        if (Error || Known == Fetches.end() || Known->second != Connection)
+          return;
+        Connection->close();
+        Fetches.erase(Name);
+      });
+  const std::string Bytes =
+      "GET " + std::string(DocumentPath) + Name + std::string(SinceParameter) +
+      std::to_string(Since) + " HTTP/1.1\r\nHost: " + Server.Host +
+      "\r\nConnection: close\r\n\r\n";
+  Connection->open();
+  Connection->start(
+      {Bytes, {}, {}, false},
+      [this, Name, Timer,
+       OnAnswer = std::move(OnAnswer)](const gateway::exchange_end End,
+                                       const gateway::exchange_answer &Answer) {
+        Timer->cancel();
+        Fetches.erase(Name);
+        if (End != gateway::exchange_end::Complete || Answer.Status != 200)
+          return;
+        const std::string *Encoding = Answer.find(EncodingHeader);
+        if (!Encoding || *Encoding != Deflate)
+          return OnAnswer(Answer);
+        auto Body = inflated(Answer.Body, MostDocumentBytes);
+        if (!Body)
+          return log::write(log::level::Warning, log::part::Membership,
+                            "a peer's document can't be read",
+                            {{"name", Name}, {"why", Body.error().Detail}});
+        gateway::exchange_answer Plain = Answer;
+        Plain.Body = std::move(Body.value());
+        OnAnswer(Plain);
+      });
+}
+
+auto fleet_link::onRequest(
+    const std::shared_ptr<gateway::caller_session> &Session,
+    const gateway::caller_request &Request) -> void {
+  gateway::caller_answer Answer;
+  Answer.Status = 404;
+  if (Request.Target.starts_with(DocumentPath)) {
+    const auto Query = Request.Target.find(SinceParameter);
+    const std::string Name =
+        Request.Target.substr(DocumentPath.size(), Query - DocumentPath.size());
+    writeDocument(Name, sinceIn(Request.Target, Query), Answer);
+  }
+  Session->answer(std::move(Answer), true);
+}
+
+auto fleet_link::writeDocument(const std::string &Name,
+                               const std::uint64_t Since,
+                               gateway::caller_answer &Answer) const -> void {
+  std::string Text;
+  if (Name == MembersName) {
+    Text = membersText();
+  } else {
+    const auto Known = Marks.find(Name);
+    if (Known == Marks.end())
+      return;
+    Text = Handlers.Write(Name, Since);
+    Answer.Headers = {
+        {std::string(AsOfHeader), std::to_string(Known->second.AsOf)},
+        {std::string(ChangedHeader), std::to_string(Known->second.Changed)}};
+  }
+  Answer.Status = 200;
+  Answer.Headers.push_back({std::string(EncodingHeader), std::string(Deflate)});
+  Answer.Body = deflated(Text);
+}
+
+} // namespace tarragon::fleet
