--- a/src/peer/internal/rpcservice.h
+++ b/src/peer/internal/rpcservice.h
@@ -32,7 +32,7 @@
       : AbstractServer(Connector), Receiver(std::move(Receiver)) {
     bindAndAddNotification(jsonrpc::Procedure(DeliverMethod,
                                               jsonrpc::PARAMS_BY_NAME, "from",
-                                              jsonrpc::JSON_OBJECT, "batch",
+                                              jsonrpc::JSON_ARRAY, "batch",
                                               jsonrpc::JSON_STRING, nullptr),
                            &rpc_service::onDeliver);
   }
