--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 # threads share tables.
 sanitize: packages
 	tools/sanitize asan global world transport peer entry query once store report \
-	  route placement gateway platformadapter
+	  route placement gateway fleet admission platformadapter
 	tools/sanitize tsan transport peer report store
 
 # What the users' platform builds, without any test.
