Heed targets that leave or want no requests for a while

Cause: an answer with Server-Leaving, and a 503 with Retry-After, changed nothing here: the target got further requests until the store said that it drains, and those it had asked not to be sent. By reading: a connection opened to find out whether a target crashed could be taken by a request, and the crash wasn't recorded then. Change: target_registry remembers incarnations that said that they leave and serving peers are told; target_health is closed until the time named and reopens gradually; a request waits only for a target that reopens in time, else it is refused with that time. Retry-After is no longer shortened at random. A failed connect is reported also if the connection has an exchange.

--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -61,6 +61,12 @@
   Value["digest"] = writeStatus(Datagram.Status);
   for (const admission::crash_report &Report : Datagram.Crashes)
     Value["crashes"].append(writeCrash(Report));
+  for (const leaving_target &Report : Datagram.Leaving) {
+    Json::Value Row;
+    Row.append(Report.Target);
+    Row.append(Json::Int64{Report.StartedAtMs});
+    Value["leaving"].append(std::move(Row));
+  }
   return writeJson(Value);
 }
 
@@ -73,9 +79,12 @@
   try {
     fleet_datagram Datagram{membership::readGossip(Value["gossip"]),
                             readStatus(Value["digest"]),
+                            {},
                             {}};
     for (const Json::Value &Report : Value["crashes"])
       Datagram.Crashes.push_back(readCrash(Report));
+    for (const Json::Value &Row : Value["leaving"])
+      Datagram.Leaving.push_back({Row[0].asString(), Row[1].asInt64()});
     return Datagram;
   } catch (const Json::Exception &) {
     return std::nullopt;
--- a/src/fleet/fleetcodec.h
+++ b/src/fleet/fleetcodec.h
@@ -2,6 +2,7 @@
 
 #include "admission/types/crashreport.h"
 #include "fleet/types/instancestatus.h"
+#include "fleet/types/leavingtarget.h"
 #include "membership/types/gossipmessage.h"
 
 #include <optional>
@@ -16,6 +17,7 @@
   membership::gossip_message Gossip;
   instance_status Status;
   std::vector<admission::crash_report> Crashes; ///< observed by the sender
+  std::vector<leaving_target> Leaving;          ///< observed by the sender
 };
 
 auto writeDatagram(const fleet_datagram &Datagram) -> std::string;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -106,6 +106,8 @@
   membersChanged();
   for (const admission::crash_report &Report : Datagram->Crashes)
     Handlers.OnCrash(Report);
+  for (const leaving_target &Target : Datagram->Leaving)
+    Handlers.OnLeaving(Target);
   compareDocuments(From, Datagram->Status);
   compareMembers(From, Datagram->Status);
 }
@@ -171,10 +173,14 @@
 
 auto fleet_link::sendTo(const endpoint &To,
                         const membership::gossip_message &Message,
-                        std::vector<admission::crash_report> Crashes,
                         const bool NeedsHelp) -> void {
-  fleet_datagram Datagram{Message, ownStatus(), std::move(Crashes)};
+  fleet_datagram Datagram{Message, ownStatus(), {}, {}};
   Datagram.Status.NeedsHelp = NeedsHelp;
+  sendDatagram(To, Datagram);
+}
+
+auto fleet_link::sendDatagram(const endpoint &To,
+                              const fleet_datagram &Datagram) -> void {
   const std::string Text = writeDatagram(Datagram);
   if (!Ready)
     NotReadyRecipients.insert(To);
@@ -226,10 +232,18 @@
 
 auto fleet_link::sendCrashReport(const admission::crash_report &Report)
     -> void {
+  sendToServing({makeAnnouncement(), ownStatus(), {Report}, {}});
+}
+
+auto fleet_link::sendLeaving(const leaving_target &Target) -> void {
+  sendToServing({makeAnnouncement(), ownStatus(), {}, {Target}});
+}
+
+auto fleet_link::sendToServing(const fleet_datagram &Datagram) -> void {
   for (const instance &Member : serving())
     if (Member.Id != Settings.Self.Id)
-      sendTo(endpointOf<asio::ip::udp>(splitAddress(Member.PeerAddress)),
-             makeAnnouncement(), {Report});
+      sendDatagram(endpointOf<asio::ip::udp>(splitAddress(Member.PeerAddress)),
+                   Datagram);
 }
 
 auto fleet_link::makeAnnouncement() const -> membership::gossip_message {
@@ -273,7 +287,7 @@
   Helpers.resize(std::min(Helpers.size(), Selection.onFailure(bootTime())));
   for (const instance &Helper : Helpers)
     sendTo(endpointOf<asio::ip::udp>(splitAddress(Helper.PeerAddress)),
-           makeAnnouncement(), {}, true);
+           makeAnnouncement(), true);
 }
 
 auto fleet_link::sourceAnswerAge() const -> milliseconds {
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -47,6 +47,8 @@
     /// Called when a peer reports a target that crashed while running a
     /// request.
     std::function<void(const admission::crash_report &)> OnCrash;
+    /// Called when a peer reports a target that said that it leaves.
+    std::function<void(const leaving_target &)> OnLeaving;
   };
 
   fleet_link(boost::asio::io_context &Loop, fleet_settings Settings,
@@ -96,6 +98,9 @@
   /// Sends a crash observed here to the instances that serve callers.
   auto sendCrashReport(const admission::crash_report &Report) -> void;
 
+  /// Sends to the instances that serve callers that \p Target leaves.
+  auto sendLeaving(const leaving_target &Target) -> void;
+
   /// Answers a document request of a peer.
   auto onRequest(const std::shared_ptr<gateway::caller_session> &Session,
                  const gateway::caller_request &Request) -> void;
@@ -105,8 +110,10 @@
 
   auto send(const std::vector<membership::outgoing_gossip> &Messages) -> void;
   auto sendTo(const endpoint &To, const membership::gossip_message &Message,
-              std::vector<admission::crash_report> Crashes = {},
               bool NeedsHelp = false) -> void;
+  auto sendDatagram(const endpoint &To, const fleet_datagram &Datagram) -> void;
+  /// Sends \p Datagram to the other instances that serve callers.
+  auto sendToServing(const fleet_datagram &Datagram) -> void;
   auto receive() -> void;
   auto onDatagram(std::string_view Text) -> void;
   auto scheduleWake() -> void;
--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -45,6 +45,9 @@
               [] { return 0.1; }, [] {},
               [this](const tarragon::admission::crash_report &Report) {
                 Crashes.push_back(Report);
+              },
+              [this](const tarragon::fleet::leaving_target &Target) {
+                Leaving.push_back(Target);
               }}) {
     BOOST_REQUIRE(
         Server.listen({asio::ip::make_address(Ip), std::uint16_t(Port + 1)}));
@@ -68,6 +71,7 @@
   std::string Document;
   bool CanAdopt = true; ///< peers' copies are usable
   std::vector<tarragon::admission::crash_report> Crashes; ///< reported by peers
+  std::vector<tarragon::fleet::leaving_target> Leaving;   ///< reported by peers
   gateway::http_server Server;
   fleet_link Link;
 };
@@ -139,6 +143,20 @@
   BOOST_TEST(Case.Members[2]->Crashes.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_leaving_target_is_sent_to_serving_instances) {
+  fleet_case Case(4);
+  BOOST_REQUIRE(Case.runUntil([&] { return Case.allHavePeers(3); }));
+  const tarragon::fleet::leaving_target Target{"t1", 1796385051242};
+  Case.Members[2]->Link.sendLeaving(Target);
+  BOOST_TEST(Case.runUntil([&] {
+    return std::all_of(
+        Case.Members.begin(), Case.Members.end(), [&](const auto &Member) {
+          return Member == Case.Members[2] ||
+                 (!Member->Leaving.empty() && Member->Leaving[0] == Target);
+        });
+  }));
+}
+
 // Guards against an instance that can't use its peers' copies and never watches
 // the source itself.
 BOOST_AUTO_TEST_CASE(a_stale_instance_watches_the_source_itself) {
@@ -189,10 +207,12 @@
   Datagram.Gossip.Rows = Datagram.Gossip.Updates;
   Datagram.Status.Documents["routes"] = {12, 10};
   Datagram.Crashes = {{77, "t1", true, 5ms}};
+  Datagram.Leaving = {{"t1", 5}};
   const std::string Valid = tarragon::fleet::writeDatagram(Datagram);
   const auto Decoded = tarragon::fleet::readDatagram(Valid);
   BOOST_REQUIRE(Decoded.has_value());
   BOOST_TEST((Decoded->Crashes == Datagram.Crashes));
+  BOOST_TEST((Decoded->Leaving == Datagram.Leaving));
   BOOST_TEST(Decoded->Gossip.Updates.size() == 1U);
   std::mt19937_64 Random(37);
   int Read = 0;
--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -18,6 +18,8 @@
 using placement::attempt_end;
 using placement::plan_verdict;
 
+constexpr unsigned StatusMisdirected = 421;
+
 auto equal(const std::string_view Left, const std::string_view Right) -> bool {
   return boost::beast::iequals({Left.data(), Left.size()},
                                {Right.data(), Right.size()});
@@ -108,6 +110,7 @@
       Origin.Route->Repeatability == route::repeatability::NonIdempotent;
   exchange &Exchange = Exchanges[Action.Key];
   Exchange.Target = Action.Target.Id;
+  Exchange.StartedAtMs = Action.Target.StartedAtMs;
   Exchange.Connection = Gateway.pool(Action.Target).acquire(Fresh, Now);
   auto Self = shared_from_this();
   const placement::attempt_key Key = Action.Key;
@@ -159,7 +162,7 @@
     break;
   }
   const header_names &Names = Gateway.settings().Names;
-  if (Answer.Status == 421)
+  if (Answer.Status == StatusMisdirected)
     return attempt_end::Misdirected;
   if (Answer.find(Names.NotRun))
     return attempt_end::Shed;
@@ -176,6 +179,9 @@
     -> void {
   exchange &Exchange = Exchanges[Key];
   Exchange.Connection = nullptr;
+  // Another target that uses the address answers 421.
+  if (End == exchange_end::Complete && Answer.Status != StatusMisdirected)
+    Gateway.recordNotices(Exchange.Target, Exchange.StartedAtMs, Answer);
   if (Plan.finished() || Exchange.IsAbandoned)
     return;
   const attempt_end AttemptEnd = classify(End, Answer);
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -36,8 +36,9 @@
     std::string Target;
     exchange_answer Answer;
     placement::attempt_end End = placement::attempt_end::Abandoned;
-    bool IsAbandoned = false; ///< its answer is ignored
-    bool IsUnsent = false;    ///< abandoned before a byte was sent
+    bool IsAbandoned = false;     ///< its answer is ignored
+    std::int64_t StartedAtMs = 0; ///< start of the target's incarnation
+    bool IsUnsent = false;        ///< abandoned before a byte was sent
   };
 
   auto perform(const placement::plan_actions &Actions) -> void;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,7 @@
 constexpr milliseconds MaxDeliveryTime{25};
 constexpr milliseconds MinEarlyMargin{25};
 constexpr double ShareTolerance = 1e-9;
+constexpr unsigned StatusUnavailable = 503;
 
 auto parseMilliseconds(const caller_request &Request, const std::string &Name)
     -> std::optional<milliseconds> {
@@ -281,6 +282,41 @@
   });
 }
 
+auto gateway::markLeaving(const std::string &Target,
+                          const std::int64_t StartedAtMs) -> void {
+  const auto Changes = Targets.registry().markLeaving(Target, StartedAtMs);
+  if (!Changes.empty())
+    applyTargets(Changes);
+}
+
+auto gateway::recordNotices(const std::string &Target,
+                            const std::int64_t StartedAtMs,
+                            const exchange_answer &Answer) -> void {
+  const std::string *Leaving = Answer.find(Settings.Names.Leaving);
+  if (Leaving && *Leaving == "1") {
+    const route::target_entry *Entry = Targets.registry().find(Target);
+    const bool IsNews = Entry && !Entry->Draining;
+    markLeaving(Target, StartedAtMs);
+    if (IsNews && LeavingHandler)
+      LeavingHandler(Target, StartedAtMs);
+  }
+  if (Answer.Status != StatusUnavailable)
+    return;
+  const std::string *Text = Answer.find("Retry-After");
+  const auto Pause = Text ? internal::parseSeconds(*Text) : std::nullopt;
+  if (!Pause || Pause->count() == 0)
+    return;
+  const auto Now = std::chrono::steady_clock::now();
+  if (Targets.registry().find(Target) &&
+      !Targets.health(Target).isClosed(Now)) {
+    Metrics.counter("tarragon_target_closures_total").add();
+    log::write(log::level::Info, log::part::Admission,
+               "target asks for no requests for a while",
+               {{"target", Target}, {"ms", std::to_string(Pause->count())}});
+  }
+  Targets.close(Target, Now + *Pause);
+}
+
 auto gateway::countAttempt(const placement::attempt_end End) -> void {
   report::metric_counter *&Counter = AttemptCounters[End];
   if (!Counter)
@@ -296,8 +332,9 @@
 }
 
 auto gateway::jittered(const milliseconds Time) -> milliseconds {
-  // Callers refused at the same time must not retry at the same time.
-  std::uniform_real_distribution<> Factor(0.5, 1.5);
+  // Callers refused at the same time must not retry at the same time, nor
+  // before the time that was found.
+  std::uniform_real_distribution<> Factor(1.0, 1.5);
   return std::chrono::duration_cast<milliseconds>(Time * Factor(Random));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,6 +33,8 @@
 public:
   using session_pointer = std::shared_ptr<caller_session>;
   using crash_handler = std::function<void(const admission::crash_report &)>;
+  using leaving_handler =
+      std::function<void(const std::string &Target, std::int64_t StartedAtMs)>;
 
   gateway(boost::asio::io_context &Loop, gateway_settings Settings,
           report::metrics_registry &Metrics);
@@ -101,6 +103,22 @@
     CrashHandler = std::move(NewHandler);
   }
 
+  /// Sets the handler that receives the targets that said that they leave, with
+  /// the start of their incarnation.
+  auto setLeavingHandler(leaving_handler NewHandler) -> void {
+    LeavingHandler = std::move(NewHandler);
+  }
+
+  /// Handles what a target's answer says about the target itself: that it
+  /// leaves, or that it wants no requests for a while. \p StartedAtMs is the
+  /// start of the incarnation that the request was sent to.
+  auto recordNotices(const std::string &Target, std::int64_t StartedAtMs,
+                     const exchange_answer &Answer) -> void;
+
+  /// Stops sending new requests to the incarnation of \p Target that started at
+  /// \p StartedAtMs.
+  auto markLeaving(const std::string &Target, std::int64_t StartedAtMs) -> void;
+
   /// Sets the limits on extra attempts, which are shared by all instances.
   auto setRetryLimits(const placement::retry_limits &Retries) -> void;
 
@@ -140,6 +158,7 @@
   std::map<std::string, placement::latency_model> Latencies; ///< by route
   std::mt19937_64 Random;
   crash_handler CrashHandler;
+  leaving_handler LeavingHandler;
   std::unordered_map<std::string, std::unique_ptr<connection_pool>> Pools;
   std::unordered_set<std::shared_ptr<active_request>> Active;
   placement::latency_model Lateness{milliseconds(0)};
--- a/src/gateway/httpconnection.cpp
+++ b/src/gateway/httpconnection.cpp
@@ -209,13 +209,13 @@
   const handler Done = std::move(Handler);
   const closed_handler Closed = std::move(ClosedHandler);
   close();
+  if (Closed && (!Done || !Sent))
+    Closed();
   if (Done)
     Done(!Sent      ? exchange_end::NotSent
          : Answered ? exchange_end::Broken
                     : exchange_end::Rejected,
          {});
-  else if (Closed)
-    Closed();
 }
 
 auto http_connection::close() -> void {
--- a/src/gateway/httpconnection.h
+++ b/src/gateway/httpconnection.h
@@ -50,8 +50,8 @@
   /// Closes the connection. The handlers are not called afterwards.
   auto close() -> void;
 
-  /// Sets the handler that is called if the connection fails while it has no
-  /// exchange.
+  /// Sets the handler that is called if the connection can't be established, or
+  /// fails while it has no exchange.
   auto setClosedHandler(closed_handler Handler) -> void;
 
   auto isOpen() const -> bool { return State != state::Closed; }
--- a/src/gateway/internal/answerwriter.cpp
+++ b/src/gateway/internal/answerwriter.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 
 namespace tarragon::gateway::internal {
 
@@ -92,4 +94,20 @@
   return std::to_string(std::chrono::duration<double>(Time).count());
 }
 
+auto parseSeconds(const std::string_view Text) -> std::optional<milliseconds> {
+  constexpr double MaxSeconds = 600;
+  double Seconds = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read =
+      std::from_chars(Text.data(), End, Seconds, std::chars_format::fixed);
+  const bool IsTooLarge = Read.ec == std::errc::result_out_of_range;
+  if ((Read.ec != std::errc() && !IsTooLarge) || Read.ptr != End ||
+      Text.front() == '-' || !std::isfinite(Seconds))
+    return std::nullopt;
+  const double Bounded =
+      IsTooLarge ? MaxSeconds : std::min(Seconds, MaxSeconds);
+  return std::chrono::ceil<milliseconds>(
+      std::chrono::duration<double>(Bounded));
+}
+
 } // namespace tarragon::gateway::internal
--- a/src/gateway/internal/answerwriter.h
+++ b/src/gateway/internal/answerwriter.h
@@ -2,6 +2,7 @@
 
 #include "gateway/types/callerrequest.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,4 +24,8 @@
 /// Formats a time as decimal seconds, for use in a header.
 auto secondsText(milliseconds Time) -> std::string;
 
+/// Parses decimal seconds, with a fraction or without; bounded to ten minutes.
+/// Returns nothing for any other text.
+auto parseSeconds(std::string_view Text) -> std::optional<milliseconds>;
+
 } // namespace tarragon::gateway::internal
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -167,4 +167,58 @@
   BOOST_TEST(Case.Gateway.version() == 7);
 }
 
+BOOST_AUTO_TEST_CASE(a_target_that_says_it_leaves_gets_no_further_request) {
+  gateway_case Case;
+  auto &Leaving = Case.target("t0", "s0", [](const std::string &Request) {
+    std::string Answer = successResponse(Request, "body");
+    return scripted_server::reaction{
+        Answer.insert(Answer.find("Id: "), "Leaving: 1\r\n")};
+  });
+  Case.routes();
+  std::vector<std::string> Told;
+  Case.Gateway.setLeavingHandler(
+      [&Told](const std::string &Target, const std::int64_t StartedAtMs) {
+        Told.push_back(Target + " " + std::to_string(StartedAtMs));
+      });
+  BOOST_TEST(status(Case.get("/one/1")) == "200");
+  BOOST_TEST(status(Case.get("/one/2")) == "503");
+  BOOST_TEST(Leaving.requests().size() == 1U);
+  BOOST_REQUIRE(Told.size() == 1U);
+  BOOST_TEST(Told[0] == "t0 1");
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_asks_for_a_pause_gets_no_request) {
+  for (const std::string Text : {"7", "7.5", "99999999999999999999"}) {
+    gateway_case Case;
+    auto &Target = Case.target("t0", "s0", [&](const std::string &) {
+      return scripted_server::reaction{
+          "HTTP/1.1 503 Busy\r\nId: q1\r\nNot-Run: 1\r\nRetry-After: " + Text +
+          "\r\nContent-Length: 0\r\n\r\n"};
+    });
+    Case.routes();
+    BOOST_TEST(status(Case.get("/one/1")) == "503");
+    const auto Answer = Case.get("/one/2");
+    BOOST_TEST(status(Answer) == "503");
+    BOOST_TEST(std::stod(headerValue(Answer, "Retry-After")) > 6.0);
+    BOOST_TEST(std::stod(headerValue(Answer, "Retry-After")) < 100.0);
+    BOOST_TEST(Target.requests().size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_meaningless_pause_is_ignored) {
+  for (const std::string Text : {"", "-5", "soon", "nan", "inf", "5 s",
+                                 "Fri, 31 Dec 1999 23:59:59 GMT", "1e3"}) {
+    gateway_case Case;
+    auto &Target = Case.target("t0", "s0", [&](const std::string &) {
+      return scripted_server::reaction{
+          "HTTP/1.1 503 Busy\r\nId: q1\r\nNot-Run: 1\r\nRetry-After: " + Text +
+          "\r\nContent-Length: 0\r\n\r\n"};
+    });
+    Case.routes();
+    Case.get("/one/1");
+    Case.get("/one/2");
+    BOOST_TEST(Target.requests().size() == 2U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/httpconnection_tests.cpp
+++ b/src/gateway/tests/httpconnection_tests.cpp
@@ -147,4 +147,20 @@
   BOOST_TEST(!Case.Connection->isReusable(Now + 5s));
 }
 
+// A connection that was opened to find out whether a target crashed may be used
+// by a request before it is established.
+BOOST_AUTO_TEST_CASE(a_failed_connect_is_reported_also_with_an_exchange) {
+  exchange_case Case({{answer("a", "")}});
+  const auto Endpoint = Case.Server.endpoint();
+  Case.Server.stopListening();
+  Case.Connection =
+      std::make_shared<http_connection>(Case.Loop, Endpoint, 1000ms);
+  Case.Connection->open();
+  bool Closed = false;
+  Case.Connection->setClosedHandler([&Closed] { Closed = true; });
+  Case.run("a");
+  BOOST_TEST((Case.End == exchange_end::NotSent));
+  BOOST_TEST(Closed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/types/headernames.h
+++ b/src/gateway/types/headernames.h
@@ -14,6 +14,7 @@
   std::string NotRun;         ///< set by a target that executed nothing
   std::string PartStamps;     ///< stamps of the parts of a merged answer
   std::string MissingParts;   ///< number of parts missing from a merged answer
+  std::string Leaving;        ///< "1" from a target that is about to stop
 };
 
 } // namespace tarragon::gateway
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -215,8 +215,13 @@
 
 auto request_plan::isServiceDown(const part &Part, const time_point Now) const
     -> bool {
-  return Context.Targets.isServiceDown(Part.Service, Context.Latencies.median(),
-                                       Now);
+  const microseconds Median = Context.Latencies.median();
+  if (!Context.Targets.isServiceDown(Part.Service, Median, Now))
+    return false;
+  // Worth waiting for a target that wants requests again in time.
+  const auto ReopensAt = Context.Targets.reopensAt(Part.Service, Now);
+  return !ReopensAt ||
+         *ReopensAt + Median > std::min(Settings.EarlyAt, Settings.Deadline);
 }
 
 auto request_plan::isUnrecoverable(const part &Part, const time_point Now) const
--- a/src/placement/targethealth.cpp
+++ b/src/placement/targethealth.cpp
@@ -69,6 +69,9 @@
   switch (End) {
   case attempt_end::Answered:
   case attempt_end::Failed:
+    if (ReopenLimit > 0 && End == attempt_end::Answered &&
+        ++ReopenLimit > MaxOutstanding)
+      ReopenLimit = 0;
     Slowness += Smoothing * (MeasuredSlowness - DecayedSlowness);
     Refusals += Smoothing *
                 ((End == attempt_end::Failed ? 1.0 : 0.0) - DecayedRefusals);
@@ -104,6 +107,11 @@
   }
 }
 
+auto target_health::close(const time_point Until) -> void {
+  ClosedUntil = std::max(ClosedUntil, Until);
+  ReopenLimit = 1;
+}
+
 auto target_health::silentFor(const time_point Now) const -> microseconds {
   if (Outstanding == 0)
     return microseconds(0);
@@ -125,7 +133,8 @@
 
 auto target_health::isDown(const microseconds MedianLatency,
                            const time_point Now) const -> bool {
-  return Now < BlockedUntil || (ConsecutiveFailures > 0 && Outstanding > 0) ||
+  return Now < BlockedUntil || isClosed(Now) ||
+         (ConsecutiveFailures > 0 && Outstanding > 0) ||
          silentFor(Now) >
              std::max(MinDownSilence,
                       scaledLatency(MedianLatency, DownSilenceFactor, Now));
@@ -138,7 +147,8 @@
 
 auto target_health::isUnavailable(const microseconds MedianLatency,
                                   const time_point Now) const -> bool {
-  return isDown(MedianLatency, Now) || Outstanding >= MaxOutstanding;
+  return isDown(MedianLatency, Now) || Outstanding >= MaxOutstanding ||
+         (ReopenLimit > 0 && Outstanding >= ReopenLimit);
 }
 
 auto target_health::cost(const microseconds MedianLatency,
@@ -155,6 +165,8 @@
   target_health_report Report;
   if (Now < BlockedUntil)
     Report.Standing = target_standing::Blocked;
+  else if (isClosed(Now))
+    Report.Standing = target_standing::Closed;
   else if (isSilent(MedianLatency, Now))
     Report.Standing = target_standing::Silent;
   else if (Outstanding >= MaxOutstanding)
@@ -162,8 +174,8 @@
   Report.Slowness = slowness(Now);
   Report.Refusals = refusals(Now);
   Report.Outstanding = Outstanding;
-  if (Now < BlockedUntil)
-    Report.BlockedFor = std::chrono::ceil<milliseconds>(BlockedUntil - Now);
+  if (Now < blockedUntil())
+    Report.BlockedFor = std::chrono::ceil<milliseconds>(blockedUntil() - Now);
   return Report;
 }
 
--- a/src/placement/targethealth.h
+++ b/src/placement/targethealth.h
@@ -4,6 +4,7 @@
 #include "placement/types/attemptend.h"
 #include "placement/types/targethealthreport.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace tarragon::placement {
@@ -34,6 +35,14 @@
   auto onEnded(attempt_end End, microseconds Latency,
                microseconds MedianLatency, time_point Now) -> void;
 
+  /// Records that the target wants no requests until \p Until. Afterwards, one
+  /// attempt at a time is allowed, and one more with each answer.
+  auto close(time_point Until) -> void;
+
+  /// Returns whether the target wants no requests for now.
+  auto isClosed(time_point Now) const -> bool { return Now < ClosedUntil; }
+  auto closedUntil() const -> time_point { return ClosedUntil; }
+
   /// Returns whether attempts are in flight and the target has answered none
   /// for longer than expected.
   auto isSilent(microseconds MedianLatency, time_point Now) const -> bool;
@@ -58,8 +67,11 @@
   auto report(microseconds MedianLatency, time_point Now) const
       -> target_health_report;
 
-  /// Returns when the block after a failure ends, or a past time.
-  auto blockedUntil() const -> time_point { return BlockedUntil; }
+  /// Returns when the block after a failure ends and the target wants requests
+  /// again, or a past time.
+  auto blockedUntil() const -> time_point {
+    return std::max(BlockedUntil, ClosedUntil);
+  }
 
   auto outstanding() const -> int { return Outstanding; }
 
@@ -80,6 +92,9 @@
   time_point MeasuredAt;
   time_point WaitingSince; ///< for the next answer
   time_point BlockedUntil;
+  time_point ClosedUntil;
+  /// Maximum of attempts in flight since the target was closed; 0: as usual.
+  int ReopenLimit = 0;
   time_point SlowStartEnd;
 };
 
--- a/src/placement/targetset.cpp
+++ b/src/placement/targetset.cpp
@@ -17,6 +17,7 @@
 /// Bounds of the retry delay that a refused caller receives.
 constexpr milliseconds MinRetryDelay{100};
 constexpr milliseconds MaxRetryDelay{1000};
+constexpr milliseconds MaxClosedRetryDelay{60000};
 
 } // namespace
 
@@ -105,6 +106,27 @@
                      });
 }
 
+auto target_set::reopensAt(const std::string &Service,
+                           const time_point Now) const
+    -> std::optional<time_point> {
+  std::optional<time_point> First;
+  for (const route::target_entry *Entry : Registry.usable(Service)) {
+    const auto Found = HealthByTarget.find(Entry->Id);
+    if (Found == HealthByTarget.end())
+      return std::nullopt;
+    if (!Found->second.isClosed(Now))
+      continue;
+    const time_point At = Found->second.closedUntil();
+    First = First ? std::min(*First, At) : At;
+  }
+  return First;
+}
+
+auto target_set::close(const std::string &Id, const time_point Until) -> void {
+  if (Registry.find(Id))
+    HealthByTarget[Id].close(Until);
+}
+
 auto target_set::expectedLatency(const std::string &Service,
                                  const microseconds MedianLatency,
                                  const time_point Now) const -> microseconds {
@@ -123,16 +145,20 @@
 
 auto target_set::retryDelay(const std::string &Service,
                             const time_point Now) const -> milliseconds {
-  auto Shortest = MaxRetryDelay;
+  auto Shortest = MaxClosedRetryDelay;
   for (const route::target_entry *Entry : Registry.usable(Service)) {
     const auto Found = HealthByTarget.find(Entry->Id);
     const auto Delay = Found == HealthByTarget.end()
                            ? milliseconds(0)
                            : std::chrono::ceil<milliseconds>(
                                  Found->second.blockedUntil() - Now);
-    Shortest = std::min(Shortest, std::max(Delay, MinRetryDelay));
+    // A block after a failure is a guess, the end of a closure is not.
+    const bool IsClosed =
+        Found != HealthByTarget.end() && Found->second.isClosed(Now);
+    const auto MaxDelay = IsClosed ? MaxClosedRetryDelay : MaxRetryDelay;
+    Shortest = std::min(Shortest, std::clamp(Delay, MinRetryDelay, MaxDelay));
   }
-  return Shortest;
+  return Registry.usable(Service).empty() ? MaxRetryDelay : Shortest;
 }
 
 } // namespace tarragon::placement
--- a/src/placement/targetset.h
+++ b/src/placement/targetset.h
@@ -4,6 +4,7 @@
 #include "route/targetregistry.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +41,16 @@
   auto isServiceDown(const std::string &Service, microseconds MedianLatency,
                      time_point Now) const -> bool;
 
+  /// Returns when the first of the targets of \p Service that asked for no
+  /// requests wants them again; nothing if one is not closed, or if there is
+  /// none.
+  auto reopensAt(const std::string &Service, time_point Now) const
+      -> std::optional<time_point>;
+
+  /// Records that target \p Id wants no requests until \p Until. Ignored for an
+  /// unknown target.
+  auto close(const std::string &Id, time_point Until) -> void;
+
   /// Returns the expected latency of a request to the best target of
   /// \p Service.
   auto expectedLatency(const std::string &Service, microseconds MedianLatency,
--- a/src/placement/tests/decisions_tests.cpp
+++ b/src/placement/tests/decisions_tests.cpp
@@ -141,6 +141,34 @@
   BOOST_TEST(Tries < 15);
 }
 
+// A target that turned a request away for two seconds gets none in that time,
+// whatever its attempts in flight do, and then one at a time until it answers.
+BOOST_AUTO_TEST_CASE(a_closed_target_gets_nothing_and_reopens_gradually) {
+  target_health Health;
+  Health.setMaxOutstanding(3);
+  Health.onSent(Start);
+  Health.onSent(Start);
+  Health.onEnded(attempt_end::Shed, 2ms, MedianLatency, Start + 2ms);
+  Health.close(Start + 2s);
+  BOOST_TEST(Health.isDown(MedianLatency, Start + 3ms));
+  Health.onEnded(attempt_end::Answered, 9ms, MedianLatency, Start + 9ms);
+  Health.close(Start + 1s); // a shorter time doesn't end the longer one
+  BOOST_TEST(Health.isUnavailable(MedianLatency, Start + 1999ms));
+  BOOST_TEST((Health.report(MedianLatency, Start + 1s).Standing ==
+              target_standing::Closed));
+  time_point Now = Start + 2s;
+  int Allowed = 0;
+  for (int Round = 1; Round <= 3; ++Round) {
+    for (Allowed = 0; !Health.isUnavailable(MedianLatency, Now); ++Allowed)
+      Health.onSent(Now);
+    BOOST_TEST(Allowed == Round);
+    Now += 10ms;
+    for (int Answer = 0; Answer < Allowed; ++Answer)
+      Health.onEnded(Answer == 0 ? attempt_end::Answered : attempt_end::Shed,
+                     10ms, MedianLatency, Now);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(attempts_in_flight_are_bounded) {
   target_health Health;
   Health.setMaxOutstanding(2);
--- a/src/placement/tests/requestplan_tests.cpp
+++ b/src/placement/tests/requestplan_tests.cpp
@@ -186,4 +186,36 @@
   BOOST_TEST(Plan.onEnded({0, 0}, attempt_end::Answered, Start + 9ms).empty());
 }
 
+// Both targets of a service asked for no requests for some time.
+BOOST_AUTO_TEST_CASE(a_request_waits_only_for_a_target_that_reopens_in_time) {
+  plan_fixture Fixture;
+  Fixture.Targets.close("s0a", Start + 50ms);
+  Fixture.Targets.close("s0b", Start + 5s);
+  auto Waiting = Fixture.plan({"s0"}, NonIdempotent);
+  const auto Begun = Waiting.start(Start);
+  BOOST_TEST(countOf<send_attempt>(Begun) == 0);
+  BOOST_TEST(!verdictOf(Begun));
+  BOOST_TEST(countOf<send_attempt>(Waiting.onTimer(Start + 40ms)) == 0);
+  BOOST_TEST(countOf<send_attempt>(Waiting.onTimer(Start + 50ms)) == 1);
+
+  Fixture.Targets.close("s0a", Start + 4s);
+  auto Refused = Fixture.plan({"s0"}, NonIdempotent);
+  const auto Actions = Refused.start(Start);
+  BOOST_REQUIRE((verdictOf(Actions) == plan_verdict::NotRun));
+  BOOST_TEST((std::get<finish_plan>(Actions.back()).RetryAfter == 4s));
+}
+
+// A closed target gets neither the hedge nor the retry of a part.
+BOOST_AUTO_TEST_CASE(a_closed_target_gets_no_extra_attempt) {
+  plan_fixture Fixture;
+  auto Plan = Fixture.plan({"s0"}, Idempotent);
+  const auto Begun = Plan.start(Start);
+  BOOST_REQUIRE(countOf<send_attempt>(Begun) == 1);
+  const bool First = std::get<send_attempt>(Begun[0]).Target.Id == "s0a";
+  Fixture.Targets.close(First ? "s0b" : "s0a", Start + 5s);
+  BOOST_TEST(countOf<send_attempt>(Plan.onTimer(Start + 150ms)) == 0);
+  const auto Ended = Plan.onEnded({0, 0}, attempt_end::Shed, Start + 160ms);
+  BOOST_TEST(countOf<send_attempt>(Ended) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/placement/types/targethealthreport.h
+++ b/src/placement/types/targethealthreport.h
@@ -9,9 +9,10 @@
 /// Whether a target gets new attempts, or the reason why not.
 enum class target_standing {
   Fine,
-  Full,   ///< this instance's share of its connections is in use
-  Silent, ///< no answer for longer than expected
-  Blocked ///< it failed recently
+  Full,    ///< this instance's share of its connections is in use
+  Silent,  ///< no answer for longer than expected
+  Blocked, ///< it failed recently
+  Closed   ///< it asked for no requests for a while
 };
 
 /// The health of a target as an instance observes it, for status views.
@@ -33,6 +34,8 @@
     return "silent";
   case target_standing::Blocked:
     return "blocked";
+  case target_standing::Closed:
+    return "closed";
   }
   return "fine";
 }
--- a/src/route/targetregistry.cpp
+++ b/src/route/targetregistry.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Ids remembered as leaving; far more than leave within the life of an entry.
+constexpr std::size_t MaxLeaving = 8192;
+
 auto isOlder(const target_entry &Entry, const target_entry &Existing) -> bool {
   return std::tie(Entry.StartedAtMs, Entry.Sequence) <
          std::tie(Existing.StartedAtMs, Existing.Sequence);
@@ -23,7 +26,35 @@
 
 } // namespace
 
-auto target_registry::put(const target_entry &Entry) -> changes {
+auto target_registry::isLeaving(const target_entry &Entry) const -> bool {
+  const auto Known = Leaving.find(Entry.Id);
+  return Known != Leaving.end() && Entry.StartedAtMs <= Known->second;
+}
+
+auto target_registry::markLeaving(const std::string &Id,
+                                  const std::int64_t StartedAtMs) -> changes {
+  const auto Known = Leaving.try_emplace(Id, StartedAtMs);
+  if (Known.second)
+    LeavingOrder.push_back(Id);
+  else if (Known.first->second >= StartedAtMs)
+    return {};
+  Known.first->second = StartedAtMs;
+  if (LeavingOrder.size() > MaxLeaving) {
+    Leaving.erase(LeavingOrder.front());
+    LeavingOrder.pop_front();
+  }
+  const auto Existing = Entries.find(Id);
+  if (Existing == Entries.end() || Existing->second.Entry.Draining ||
+      !isLeaving(Existing->second.Entry))
+    return {};
+  Existing->second.Entry.Draining = true;
+  rebuildIndex();
+  return {{Id, false, false}};
+}
+
+auto target_registry::put(const target_entry &NewEntry) -> changes {
+  target_entry Entry = NewEntry;
+  Entry.Draining = Entry.Draining || isLeaving(Entry);
   const auto Existing = Entries.find(Entry.Id);
   const bool IsNew = Existing == Entries.end();
   if (!IsNew && isOlder(Entry, Existing->second.Entry)) {
--- a/src/route/targetregistry.h
+++ b/src/route/targetregistry.h
@@ -2,6 +2,7 @@
 
 #include "route/types/targetentry.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -28,6 +29,11 @@
   /// changes nothing but cancels a pending removal.
   auto put(const target_entry &Entry) -> changes;
 
+  /// Records that the incarnation of \p Id that started at \p StartedAtMs said
+  /// that it leaves: it counts as draining from now on, whatever its entry
+  /// says, also if the entry goes and comes back.
+  auto markLeaving(const std::string &Id, std::int64_t StartedAtMs) -> changes;
+
   /// Marks \p Id as removed; it is dropped at \p DropAt unless its entry comes
   /// back. A second removal doesn't postpone the first.
   auto remove(const std::string &Id, time_point DropAt) -> void;
@@ -59,9 +65,13 @@
     std::optional<time_point> DropAt;
   };
 
+  auto isLeaving(const target_entry &Entry) const -> bool;
   auto rebuildIndex() -> void;
 
   std::map<std::string, record> Entries; ///< by id
+  /// Start of the incarnation that said that it leaves, by target id.
+  std::map<std::string, std::int64_t> Leaving;
+  std::deque<std::string> LeavingOrder; ///< ids in Leaving, oldest first
   /// By service.
   std::map<std::string, std::vector<const target_entry *>> Usable;
 };
--- a/src/route/tests/targetregistry_tests.cpp
+++ b/src/route/tests/targetregistry_tests.cpp
@@ -27,6 +27,33 @@
 
 BOOST_AUTO_TEST_SUITE(targetregistry)
 
+// A target's own answers tell earlier than its entry that it leaves, and the
+// entry may be written again as ready, or go and come back.
+BOOST_AUTO_TEST_CASE(a_target_that_said_it_leaves_stays_unusable) {
+  target_registry Registry;
+  Registry.put(entry("a", 5, 1));
+  const auto Changes = Registry.markLeaving("a", 5);
+  BOOST_REQUIRE(Changes.size() == 1U);
+  BOOST_TEST(!Changes[0].Usable);
+  BOOST_TEST(Registry.markLeaving("a", 5).empty());
+  BOOST_TEST(Registry.put(entry("a", 5, 2)).empty());
+  BOOST_TEST(Registry.usable("search").empty());
+  Registry.remove("a", Start);
+  Registry.expire(Start);
+  Registry.put(entry("a", 5, 3));
+  BOOST_TEST(Registry.usable("search").empty());
+  Registry.put(entry("a", 6, 1));
+  BOOST_TEST(Registry.usable("search").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_notice_of_an_earlier_incarnation_is_ignored) {
+  target_registry Registry;
+  Registry.put(entry("a", 6, 1));
+  BOOST_TEST(Registry.markLeaving("a", 5).empty());
+  BOOST_TEST(Registry.usable("search").size() == 1U);
+  BOOST_TEST(Registry.markLeaving("unknown", 5).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_target_gets_no_new_requests_immediately) {
   target_registry Registry;
   Registry.put(entry("a"));
