Bound answers that never end; don't allocate an announced length

Cause: an answer with Content-Length and some bytes ended the process: the eager parser reserves the length although it refuses it. Extensions of a chunk and trailers without end were kept without limit, and a body up to 64 MB a connection.

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -72,7 +72,7 @@
 
 auto caller_session::read() -> void {
   if (ReadOutstanding || State == state::Closed ||
-      Pending.size() > MaxPendingBytes)
+      Pending.size() > Server.limits().HeaderBytes + MaxPendingBytes)
     return;
   ReadOutstanding = true;
   auto Self = shared_from_this();
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -15,9 +15,10 @@
 
 connection_pool::connection_pool(boost::asio::io_context &NewLoop,
                                  http_connection::endpoint NewTarget,
-                                 const int NewMaxConnections)
+                                 const int NewMaxConnections,
+                                 std::shared_ptr<receive_budget> NewMemory)
     : Loop(NewLoop), Target(std::move(NewTarget)),
-      MaxConnections(NewMaxConnections) {}
+      MaxConnections(NewMaxConnections), Memory(std::move(NewMemory)) {}
 
 connection_pool::~connection_pool() {
   for (const connection_pointer &Connection : Connections)
@@ -39,7 +40,7 @@
   if (static_cast<int>(Connections.size()) >= MaxConnections)
     return nullptr;
   auto Connection =
-      std::make_shared<http_connection>(Loop, Target, ConnectTimeout);
+      std::make_shared<http_connection>(Loop, Target, ConnectTimeout, Memory);
   Connections.push_back(Connection);
   Connection->open();
   return Connection;
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -14,7 +14,8 @@
   using connection_pointer = std::shared_ptr<http_connection>;
 
   connection_pool(boost::asio::io_context &Loop,
-                  http_connection::endpoint Target, int MaxConnections);
+                  http_connection::endpoint Target, int MaxConnections,
+                  std::shared_ptr<receive_budget> Memory);
   ~connection_pool();
 
   auto setMaxConnections(int NewMaxConnections) -> void {
@@ -58,6 +59,7 @@
   boost::asio::io_context &Loop;
   http_connection::endpoint Target;
   int MaxConnections;
+  std::shared_ptr<receive_budget> Memory;
   std::vector<connection_pointer> Connections;
   std::vector<abandoned_exchange> Abandoned;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,8 @@
 /// Time reserved before the deadline to deliver the answer to the caller.
 constexpr milliseconds MaxDeliveryTime{25};
 constexpr milliseconds MinEarlyMargin{25};
+/// Answers of targets that are being received or are kept for a request.
+constexpr std::size_t MaxAnswerBytes = 33554432;
 constexpr double ShareTolerance = 1e-9;
 constexpr unsigned StatusUnavailable = 503;
 
@@ -60,6 +62,7 @@
 gateway::gateway(boost::asio::io_context &NewLoop, gateway_settings NewSettings,
                  report::metrics_registry &NewMetrics)
     : Loop(NewLoop), Settings(std::move(NewSettings)), Metrics(NewMetrics),
+      Memory(std::make_shared<receive_budget>(MaxAnswerBytes)),
       Targets(Settings.FailureDomain),
       Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
       Random(std::random_device()()), SweepTimer(NewLoop),
@@ -176,7 +179,8 @@
     boost::system::error_code Error;
     const auto Address = boost::asio::ip::make_address(Target.Ip, Error);
     Pool = std::make_unique<connection_pool>(
-        Loop, http_connection::endpoint(Address, Target.Port), MaxConnections);
+        Loop, http_connection::endpoint(Address, Target.Port), MaxConnections,
+        Memory);
   }
   Pool->setMaxConnections(MaxConnections);
   return *Pool;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -76,6 +76,7 @@
   auto budgets() -> placement::retry_budget_table & { return Budgets; }
   auto metrics() -> report::metrics_registry & { return Metrics; }
   auto poison() -> admission::poison_tracker & { return Poison; }
+  auto memory() const -> const receive_budget & { return *Memory; }
 
   /// Returns the connection pool of \p Target, which is created on first use.
   auto pool(const route::target_entry &Target) -> connection_pool &;
@@ -149,6 +150,8 @@
   boost::asio::io_context &Loop;
   gateway_settings Settings;
   report::metrics_registry &Metrics;
+  /// Of the answers of all targets.
+  std::shared_ptr<receive_budget> Memory;
   placement::target_set Targets;
   placement::retry_budget_table Budgets;
   admission::crash_groups Crashes;
--- a/src/gateway/httpconnection.cpp
+++ b/src/gateway/httpconnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include <charconv>
+#include <utility>
 
 namespace tarragon::gateway {
 
@@ -14,7 +15,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t MaxHeaderBytes = 65536;
-constexpr std::uint64_t MaxBodyBytes = 64 * 1024 * 1024;
+constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
 constexpr int MaxSkippedAnswers = 4;
 /// A connection is not reused in this time before the end that the server has
 /// announced for it: the server might close it with a request under way.
@@ -50,9 +51,10 @@
 } // namespace
 
 http_connection::http_connection(asio::io_context &Loop, endpoint NewServer,
-                                 const milliseconds NewConnectTimeout)
+                                 const milliseconds NewConnectTimeout,
+                                 std::shared_ptr<receive_budget> NewMemory)
     : Socket(Loop), ConnectTimer(Loop), Server(std::move(NewServer)),
-      ConnectTimeout(NewConnectTimeout) {}
+      ConnectTimeout(NewConnectTimeout), Memory(std::move(NewMemory)) {}
 
 auto http_connection::open() -> void {
   boost::system::error_code Error;
@@ -107,7 +109,6 @@
 
 auto http_connection::resetParser() -> void {
   Parser.emplace();
-  Parser->eager(true);
   Parser->header_limit(MaxHeaderBytes);
   Parser->body_limit(MaxBodyBytes);
   Parser->skip(Request.IsHead);
@@ -142,6 +143,8 @@
     return fail(); // bytes outside of an exchange
   Pending.append(Buffer.data(), Count);
   consume();
+  if (State == state::Busy && !isWithinLimits())
+    return fail();
   if (State != state::Closed)
     read();
 }
@@ -154,6 +157,10 @@
     Pending.erase(0, Used);
     if (Error && Error != http::error::need_more)
       return fail();
+    // An eager parser starts the body although the head is refused because of
+    // its Content-Length, and allocates that many bytes.
+    if (Parser->is_header_done())
+      Parser->eager(true);
     if (Parser->is_done()) {
       onAnswer();
       continue;
@@ -163,6 +170,18 @@
   }
 }
 
+auto http_connection::isWithinLimits() -> bool {
+  // The parser bounds the head and the body, but not a chunk's extensions or
+  // the trailers, which it consumes only as a whole.
+  if (Pending.size() > MaxHeaderBytes)
+    return false;
+  if (!Memory)
+    return true;
+  if (!Lease)
+    Lease = std::make_shared<receive_budget::lease>(Memory);
+  return Lease->resize(Pending.size() + Parser->get().body().size());
+}
+
 auto http_connection::onAnswer() -> void {
   const auto &Head = Parser->get();
   if (Head.result_int() < 200) {
@@ -185,7 +204,9 @@
   if (const auto Time = keepAliveTimeout(Head))
     ReuseBefore = Now + *Time - KeepAliveMargin;
   IdleSince = Now;
-  finish(exchange_end::Complete, copyAnswer(Parser->release()));
+  exchange_answer Answer = copyAnswer(Parser->release());
+  Answer.Memory = std::exchange(Lease, nullptr);
+  finish(exchange_end::Complete, std::move(Answer));
 }
 
 auto http_connection::finish(const exchange_end End, exchange_answer Answer)
@@ -222,6 +243,7 @@
   if (State == state::Closed)
     return;
   State = state::Closed;
+  Lease = nullptr;
   Handler = nullptr;
   ClosedHandler = nullptr;
   ConnectTimer.cancel();
--- a/src/gateway/httpconnection.h
+++ b/src/gateway/httpconnection.h
@@ -30,15 +30,18 @@
 ///
 /// A response with the id of another request is skipped. Bytes outside of an
 /// exchange close the connection, and so does a response that is received
-/// before the request was written completely.
+/// before the request was written completely. A response without end fails once
+/// it exceeds a limit of its own or the budget that it shares.
 class http_connection : public std::enable_shared_from_this<http_connection> {
 public:
   using handler = std::function<void(exchange_end, exchange_answer)>;
   using closed_handler = std::function<void()>;
   using endpoint = boost::asio::ip::tcp::endpoint;
 
+  /// \p Memory, which may be null, counts the bytes of answers.
   http_connection(boost::asio::io_context &Loop, endpoint Server,
-                  milliseconds ConnectTimeout);
+                  milliseconds ConnectTimeout,
+                  std::shared_ptr<receive_budget> Memory = nullptr);
 
   /// Starts connecting; an exchange may be started before it is connected.
   auto open() -> void;
@@ -78,6 +81,8 @@
   auto onRead(const boost::system::error_code &Error, std::size_t Count)
       -> void;
   auto consume() -> void;
+  /// Returns whether the answer received so far is within its limits.
+  auto isWithinLimits() -> bool;
   auto onAnswer() -> void;
   auto resetParser() -> void;
   auto finish(exchange_end End, exchange_answer Answer) -> void;
@@ -97,6 +102,8 @@
   handler Handler;
   closed_handler ClosedHandler;
   std::optional<response_parser> Parser;
+  std::shared_ptr<receive_budget> Memory;
+  std::shared_ptr<receive_budget::lease> Lease; ///< of the current answer
   std::string Pending; ///< received bytes that are not parsed yet
   std::array<char, 4096> Buffer;
   time_point IdleSince;
--- a/src/gateway/tests/callers_tests.cpp
+++ b/src/gateway/tests/callers_tests.cpp
@@ -121,4 +121,18 @@
   }
 }
 
+// The head and the first bytes of the body arrive together.
+BOOST_AUTO_TEST_CASE(a_body_announced_too_long_is_refused) {
+  for (const std::string Length :
+       {"101", "99999999999", "9999999999999999999"}) {
+    gateway_case Case;
+    Case.routes();
+    const auto Answer = Case.sendAndReceive(
+        "POST /one/1 HTTP/1.1\r\nHost: h.example\r\nId: q1\r\n"
+        "Content-Length: " +
+        Length + "\r\n\r\nbody");
+    BOOST_TEST(status(Answer) == "413");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/tests/scriptedpeer.cpp
+++ b/src/gateway/tests/scriptedpeer.cpp
@@ -113,11 +113,28 @@
                             asio::socket_base::linger(true, 0), Ignored);
                       if (Reaction.Close || Reaction.Reset)
                         Connection->Socket.close(Ignored);
-                      else
+                      else if (!Reaction.Pour.empty()) {
+                        Connection->Output = Reaction.Pour;
+                        pour(Connection);
+                      } else
                         read(Connection);
                     });
 }
 
+auto scripted_server::pour(const std::shared_ptr<connection> &Connection)
+    -> void {
+  asio::async_write(Connection->Socket, asio::buffer(Connection->Output),
+                    [this, Connection](const boost::system::error_code &Error,
+                                       const std::size_t Count) {
+                      if (Error) {
+                        ++EndedByPeer;
+                        return;
+                      }
+                      Poured += Count;
+                      pour(Connection);
+                    });
+}
+
 scripted_caller::scripted_caller(asio::io_context &Loop,
                                  const asio::ip::tcp::endpoint &Server)
     : Socket(std::make_shared<asio::ip::tcp::socket>(Loop)),
--- a/src/gateway/tests/scriptedpeer.h
+++ b/src/gateway/tests/scriptedpeer.h
@@ -23,6 +23,7 @@
     std::string Bytes;
     bool Close = false; ///< close the connection after the bytes
     bool Reset = false; ///< reset the connection after the bytes
+    std::string Pour;   ///< repeated after the bytes until the caller closes
   };
   using script = std::function<reaction(const std::string &Request)>;
 
@@ -38,6 +39,8 @@
   /// Returns the number of connections closed by the other side.
   auto endedByPeer() const -> int { return EndedByPeer; }
   auto accepted() const -> int { return Accepted; }
+  /// Returns the bytes poured so far.
+  auto poured() const -> std::size_t { return Poured; }
 
 private:
   struct connection;
@@ -45,12 +48,14 @@
   auto accept() -> void;
   auto read(const std::shared_ptr<connection> &Connection) -> void;
   auto react(const std::shared_ptr<connection> &Connection) -> void;
+  auto pour(const std::shared_ptr<connection> &Connection) -> void;
 
   boost::asio::io_context &Loop;
   boost::asio::ip::tcp::acceptor Acceptor;
   script Script;
   std::vector<std::string> Requests;
   int EndedByPeer = 0;
+  std::size_t Poured = 0;
   int Accepted = 0;
 };
 
--- a/src/gateway/types/exchangeanswer.h
+++ b/src/gateway/types/exchangeanswer.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "gateway/receivebudget.h"
 #include "gateway/types/headerfield.h"
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -21,6 +23,8 @@
   std::string Reason;
   header_fields Headers;
   std::string Body;
+  /// Keeps the bytes of the answer counted while it exists; may be null.
+  std::shared_ptr<receive_budget::lease> Memory;
 
   /// Returns the first value of header \p Name (case-insensitive), or null.
   auto find(const std::string_view Name) const -> const std::string * {
