--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -238,6 +238,8 @@
   for (const header_field &Field : internal::forwardedHeaders(Answer.Headers))
     Forwarded.Headers.push_back(Field);
   Forwarded.BodyOmitted = IsHead;
+  if (const std::string *Length = Answer.find("Content-Length"))
+    Forwarded.OmittedLength = *Length;
   Forwarded.Body = Answer.Body;
   return Forwarded;
 }
--- a/src/gateway/internal/answerwriter.cpp
+++ b/src/gateway/internal/answerwriter.cpp
@@ -82,6 +82,8 @@
   const bool HasNoBody = Answer.Status == 204 || Answer.Status == 304;
   if (!HasNoBody && !Answer.BodyOmitted)
     appendField(Bytes, "Content-Length", std::to_string(Answer.Body.size()));
+  if (!HasNoBody && Answer.BodyOmitted && !Answer.OmittedLength.empty())
+    appendField(Bytes, "Content-Length", Answer.OmittedLength);
   if (CloseAfter)
     appendField(Bytes, "Connection", "close");
   Bytes += "\r\n";
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -221,4 +221,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_to_head_keeps_the_length) {
+  gateway_case Case;
+  Case.target("t0", "s0", [](const std::string &) {
+    return scripted_server::reaction{
+        "HTTP/1.1 200 OK\r\nId: q1\r\nStamp: st\r\nContent-Length: 7\r\n\r\n"};
+  });
+  Case.routes();
+  scripted_caller Caller(Case.Loop, Case.Address);
+  Caller.send("HEAD /one/1 HTTP/1.1\r\nHost: h.example\r\nId: q1\r\n\r\n");
+  BOOST_REQUIRE(runUntil(Case.Loop, [&Caller] {
+    return Caller.received().find("\r\n\r\n") != std::string::npos;
+  }));
+  BOOST_TEST(headerValue(Caller.received(), "Content-Length") == "7");
+  BOOST_TEST(Caller.received().ends_with("\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/types/callerrequest.h
+++ b/src/gateway/types/callerrequest.h
@@ -30,6 +30,8 @@
   header_fields Headers;
   std::string Body;
   bool BodyOmitted = false; ///< response to HEAD: written without a body
+  /// Content-Length of a response to HEAD; empty if it is not known.
+  std::string OmittedLength;
 };
 
 } // namespace tarragon::gateway
--- a/src/route/routetable.cpp
+++ b/src/route/routetable.cpp
@@ -16,7 +16,11 @@
 }
 
 auto withoutPort(const std::string_view Host) -> std::string_view {
-  return Host.substr(0, Host.rfind(':'));
+  // An IPv6 address in brackets has colons of its own.
+  const auto Address = Host.find(']');
+  const auto Colon =
+      Host.find(':', Address == std::string_view::npos ? 0 : Address);
+  return Host.substr(0, Colon);
 }
 
 } // namespace
--- a/src/route/tests/routetable_tests.cpp
+++ b/src/route/tests/routetable_tests.cpp
@@ -22,7 +22,8 @@
   Set->Routes = {makeRoute("all", "shop.example", "/"),
                  makeRoute("cards", "shop.example", "/cards/"),
                  makeRoute("pressed", "shop.example", "/cards/pressed/"),
-                 makeRoute("other", "desk.example", "/cards/")};
+                 makeRoute("other", "desk.example", "/cards/"),
+                 makeRoute("literal", "[2001:db8::7]", "/")};
   return route_table(Set);
 }
 
@@ -52,4 +53,11 @@
   BOOST_TEST(nameOf(Table.find("shop.example", "/cards/?a=b")) == "cards");
 }
 
+BOOST_AUTO_TEST_CASE(an_address_in_brackets_is_kept_whole) {
+  const route_table Table = makeTable();
+  BOOST_TEST(nameOf(Table.find("[2001:db8::7]", "/x")) == "literal");
+  BOOST_TEST(nameOf(Table.find("[2001:DB8::7]:8226", "/x")) == "literal");
+  BOOST_TEST(nameOf(Table.find("[2001:db8::8]:8226", "/x")) == "none");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
