Answer requests that are being received before a planned stop ends

Cause: a stopping instance exited as soon as no request was being served, after 3.25 s: one whose body was still on its way, one on a connection accepted at that moment and an answer still being written were cut (operators' report).

--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -50,6 +50,12 @@
 
   auto isOpen() const -> bool { return State != state::Closed; }
 
+  /// Returns whether a request is being received, processed or answered.
+  auto isBusy() const -> bool {
+    return State == state::Waiting || State == state::Writing ||
+           (State == state::Reading && RequestStarted);
+  }
+
 private:
   enum class state {
     Reading,   ///< receives a request, or idle between two requests
--- a/src/gateway/httpserver.cpp
+++ b/src/gateway/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/callersession.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace tarragon::gateway {
@@ -40,7 +41,7 @@
 auto http_server::accept() -> void {
   Acceptor.async_accept([this](const boost::system::error_code &Error,
                                asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
+    if (Error == asio::error::operation_aborted || !Acceptor.is_open())
       return;
     if (Error) {
       // Most likely out of file descriptors: retry after a delay.
@@ -86,6 +87,17 @@
     Session->closeAfterAnswer();
 }
 
+auto http_server::stopAccepting() -> void {
+  boost::system::error_code Ignored;
+  Acceptor.close(Ignored);
+}
+
+auto http_server::isBusy() const -> bool {
+  return std::any_of(
+      Sessions.begin(), Sessions.end(),
+      [](const session_pointer &Session) { return Session->isBusy(); });
+}
+
 auto http_server::handle(const session_pointer &Session, caller_request Request)
     -> void {
   Handler(Session, std::move(Request));
--- a/src/gateway/httpserver.h
+++ b/src/gateway/httpserver.h
@@ -40,6 +40,12 @@
   /// Closes each connection after its next answer from now on.
   auto closeAfterAnswers() -> void;
 
+  /// Stops accepting connections; open ones go on.
+  auto stopAccepting() -> void;
+
+  /// Returns whether a request is being received, processed or answered.
+  auto isBusy() const -> bool;
+
   /// Returns the number of open connections.
   auto connections() const -> std::size_t { return Sessions.size(); }
 
