Count a suspension of the machine against the time of requests

Cause: the steady clock stands still while a machine is suspended, so that requests under way kept the time that they had before, and were sent on, with too long a deadline, after their callers had left (operators' report on a permission that ran out during a pause). A plan past its deadline sends nothing. Figures: a_suspension_uses_up_the_time_of_a_request; there was no such path before, so nothing to run it against. gateway_tests, placement_tests pass.

--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -77,6 +77,14 @@
   perform(Plan.start(std::chrono::steady_clock::now()));
 }
 
+auto active_request::shorten(const milliseconds Span) -> void {
+  if (Plan.finished())
+    return;
+  Deadline -= Span;
+  Plan.shorten(Span);
+  perform(Plan.onTimer(std::chrono::steady_clock::now()));
+}
+
 auto active_request::perform(const placement::plan_actions &Actions) -> void {
   for (const placement::plan_action &Action : Actions) {
     if (const auto *Send = std::get_if<placement::send_attempt>(&Action))
@@ -182,6 +190,7 @@
   // Another target that uses the address answers 421.
   if (End == exchange_end::Complete && Answer.Status != StatusMisdirected)
     Gateway.recordNotices(Exchange.Target, Exchange.StartedAtMs, Answer);
+  Gateway.checkSuspension();
   if (Plan.finished() || Exchange.IsAbandoned)
     return;
   const attempt_end AttemptEnd = classify(End, Answer);
@@ -220,6 +229,9 @@
   Timer.async_wait([Self](const boost::system::error_code &Error) {
     if (Error || Self->Plan.finished())
       return;
+    Self->Gateway.checkSuspension();
+    if (Self->Plan.finished())
+      return;
     const auto Now = std::chrono::steady_clock::now();
     Self->TimerSet = false;
     if (Now < Self->Plan.nextWake())
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -30,6 +30,10 @@
   /// Starts the plan; calls gateway::release() when the request has ended.
   auto begin() -> void;
 
+  /// Brings the deadline forward by \p Span, in which the machine was
+  /// suspended, and ends the request if it has passed.
+  auto shorten(milliseconds Span) -> void;
+
 private:
   struct exchange {
     std::shared_ptr<http_connection> Connection;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/activerequest.h"
 #include "gateway/callersession.h"
 #include "gateway/internal/answerwriter.h"
+#include "global/boottime.h"
 #include "global/log.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -36,6 +37,8 @@
 constexpr std::size_t MaxAnswerBytes = 33554432;
 constexpr double ShareTolerance = 1e-9;
 constexpr unsigned StatusUnavailable = 503;
+/// Shorter ones are not told from the time between two readings of the clocks.
+constexpr milliseconds MinSuspension{50};
 
 auto parseMilliseconds(const caller_request &Request, const std::string &Name)
     -> std::optional<milliseconds> {
@@ -65,7 +68,9 @@
       Memory(std::make_shared<receive_budget>(MaxAnswerBytes)),
       Targets(Settings.FailureDomain),
       Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
-      Random(std::random_device()()), SweepTimer(NewLoop),
+      Random(std::random_device()()),
+      ClockOffset(bootTime() - std::chrono::steady_clock::now()),
+      SweepTimer(NewLoop),
       WarmNotBefore(std::chrono::steady_clock::now() + PeerDiscoveryTime) {
   Budgets.setLimits(Settings.Retries);
   BudgetInstances = Settings.Retries.Instances;
@@ -194,7 +199,28 @@
   }
 }
 
+auto gateway::checkSuspension() -> void {
+  const auto Offset = bootTime() - std::chrono::steady_clock::now();
+  const auto Span =
+      std::chrono::duration_cast<milliseconds>(Offset - ClockOffset);
+  if (Span < MinSuspension)
+    return;
+  ClockOffset = Offset;
+  onSuspended(Span);
+}
+
+auto gateway::onSuspended(const milliseconds Span) -> void {
+  log::write(log::level::Warning, log::part::Entry, "the machine was suspended",
+             {{"ms", std::to_string(Span.count())},
+              {"at_hand", std::to_string(Active.size())}});
+  const std::vector<std::shared_ptr<active_request>> All(Active.begin(),
+                                                         Active.end());
+  for (const std::shared_ptr<active_request> &Request : All)
+    Request->shorten(Span);
+}
+
 auto gateway::sweep() -> void {
+  checkSuspension();
   const auto Now = std::chrono::steady_clock::now();
   publishCrashes(Now);
   for (auto &[Id, Pool] : Pools)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,6 +66,14 @@
   /// opens no connections in advance.
   auto setServing(serving_state Serving) -> void;
 
+  /// Finds out whether the machine was suspended since the last call, in which
+  /// the steady clock stood still; see onSuspended().
+  auto checkSuspension() -> void;
+
+  /// Brings the deadlines of all requests forward by \p Span, since their
+  /// callers' time went on, and ends those whose deadline has passed.
+  auto onSuspended(milliseconds Span) -> void;
+
   /// Refuses all further requests that can't be answered before \p Until.
   auto refuseAfter(time_point Until) -> void { StopsAt = Until; }
 
@@ -166,6 +174,8 @@
   std::unordered_set<std::shared_ptr<active_request>> Active;
   placement::latency_model Lateness{milliseconds(0)};
   std::map<placement::attempt_end, report::metric_counter *> AttemptCounters;
+  /// Of the clock that runs through a suspension, relative to the steady one.
+  std::chrono::steady_clock::duration ClockOffset;
   std::uint64_t Exchanges = 0; ///< since UsedCoresReadAt
   time_point UsedCoresReadAt;
   double UsedCores = 0;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -237,4 +237,40 @@
   BOOST_TEST(Caller.received().ends_with("\r\n\r\n"));
 }
 
+// The machine is suspended while a request is under way. The steady clock
+// stands still meanwhile, but the caller's time goes on.
+BOOST_AUTO_TEST_CASE(a_suspension_uses_up_the_time_of_a_request) {
+  gateway_case Case;
+  auto &First = Case.target("t0", "s0", [](const std::string &) {
+    return scripted_server::reaction{}; // never answers
+  });
+  auto &Second = Case.target("t1", "s0", [](const std::string &) {
+    return scripted_server::reaction{};
+  });
+  Case.routes();
+  scripted_caller Caller(Case.Loop, Case.Address);
+  Caller.send("GET /one/1 HTTP/1.1\r\nHost: h.example\r\nId: q1\r\n"
+              "Left: 900\r\n\r\n");
+  BOOST_REQUIRE(runUntil(Case.Loop, [&] {
+    return First.requests().size() + Second.requests().size() == 1;
+  }));
+  Case.Gateway.onSuspended(2s);
+  BOOST_TEST(Case.Gateway.requestsInFlight() == 0U);
+  BOOST_REQUIRE(
+      runUntil(Case.Loop, [&Caller] { return !Caller.received().empty(); }));
+  BOOST_TEST(status(Caller.received()) == "504");
+  BOOST_TEST(First.requests().size() + Second.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_short_suspension_leaves_the_rest_of_the_time) {
+  gateway_case Case;
+  auto &Target = Case.target("t0", "s0", [](const std::string &Request) {
+    return scripted_server::reaction{successResponse(Request, "body")};
+  });
+  Case.routes();
+  Case.Gateway.onSuspended(2s);
+  BOOST_TEST(status(Case.get("/one/1", "Left: 900\r\n")) == "200");
+  BOOST_TEST(std::stoi(headerValue(Target.requests().back(), "Left")) > 500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -197,7 +197,8 @@
   plan_actions Actions;
   if (Finished)
     return Actions;
-  for (std::size_t Index = 0; Index < Parts.size(); ++Index) {
+  const bool HasTime = Now < Settings.Deadline;
+  for (std::size_t Index = 0; HasTime && Index < Parts.size(); ++Index) {
     part &Part = Parts[Index];
     if (Part.Waiting)
       sendFirst(Index, Now, Actions);
@@ -209,6 +210,11 @@
   return Actions;
 }
 
+auto request_plan::shorten(const milliseconds Span) -> void {
+  Settings.EarlyAt -= Span;
+  Settings.Deadline -= Span;
+}
+
 auto request_plan::abandon(const time_point Now) -> plan_actions {
   plan_actions Actions;
   for (std::size_t Index = 0; Index < Parts.size(); ++Index)
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -52,6 +52,10 @@
   /// Cancels all attempts in flight after the caller disconnected.
   auto abandon(time_point Now) -> plan_actions;
 
+  /// Brings the deadline forward by \p Span, in which the machine was suspended
+  /// and the clock of this plan stood still; onTimer() is due afterwards.
+  auto shorten(milliseconds Span) -> void;
+
   /// Returns when onTimer() is due.
   auto nextWake() const -> time_point { return Wake; }
   auto settings() const -> const plan_settings & { return Settings; }
