--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -274,7 +274,12 @@
     if (!InFlight && (!Part.Waiting || isServiceDown(Part, Now)))
       continue;
     ++Counts.Open;
-    Counts.Unrecoverable += CheckOutages && isUnrecoverable(Part, Now) ? 1 : 0;
+    // A run that may not be repeated is worth waiting for: its target may only
+    // be slow.
+    const bool MayGiveUp =
+        CheckOutages && (!InFlight || Settings.Repeatability ==
+                                          route::repeatability::Idempotent);
+    Counts.Unrecoverable += MayGiveUp && isUnrecoverable(Part, Now) ? 1 : 0;
   }
   return Counts;
 }
--- a/src/placement/tests/requestplan_tests.cpp
+++ b/src/placement/tests/requestplan_tests.cpp
@@ -248,4 +248,21 @@
   BOOST_TEST(TargetOf(2) == "s0a");
 }
 
+// All targets of the service are silent for longer than expected; the request
+// that may not run again is still with one of them.
+BOOST_AUTO_TEST_CASE(a_slow_run_that_may_not_be_repeated_is_not_given_up) {
+  plan_fixture Fixture;
+  for (const std::string Id : {"s0a", "s0b"}) {
+    Fixture.Targets.health(Id).onSent(Start - 1s);
+    Fixture.Targets.health(Id).onSent(Start - 1s);
+  }
+  Fixture.add("s0c", "s0");
+  auto Plan = Fixture.plan({"s0"}, NonIdempotent);
+  BOOST_REQUIRE(countOf<send_attempt>(Plan.start(Start)) == 1);
+  for (auto Time = 100ms; Time < 1900ms; Time += 100ms)
+    BOOST_TEST(!verdictOf(Plan.onTimer(Start + Time)));
+  BOOST_TEST((verdictOf(Plan.onEnded({0, 0}, attempt_end::Answered,
+                                     Start + 1850ms)) == plan_verdict::Answer));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
