Two watchers, and a bounded number of calls at a start

Change: before it has heard of an answer, an instance draws whether it calls; one that is no seed and knows no other assumes many. WatcherCount is 2. Conclusion: calls of a start don't grow with the instances any more; a restart of all is slower by about a tenth of a second.

--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -72,6 +72,11 @@
     Socket.non_blocking(true, Error);
   if (Error)
     return false;
+  const std::string OwnIp = splitAddress(Settings.Self.PeerAddress).Host;
+  if (!Settings.SeedIps.empty() &&
+      std::find(Settings.SeedIps.begin(), Settings.SeedIps.end(), OwnIp) ==
+          Settings.SeedIps.end())
+    Selection.expectPeers();
   receive();
   scheduleWake();
   sendJoins();
@@ -100,6 +105,7 @@
     return;
   Statuses[From.Id] = Datagram->Status;
   Selection.onPeerAge(Datagram->Status.SourceAnswerAge, bootTime());
+  Selection.onPeerCount(Datagram->Status.Members);
   if (Datagram->Status.NeedsHelp)
     Selection.onHelpRequest(bootTime());
   send(Table.onMessage(Datagram->Gossip, now()));
--- a/src/fleet/tests/sourceoutage.cpp
+++ b/src/fleet/tests/sourceoutage.cpp
@@ -97,8 +97,9 @@
   const std::uint64_t Call = NextNumber++;
   Node.Call = Call;
   const milliseconds Wait =
-      Node.Active ? MaxWait * 3 / 4 + milliseconds(Random() % (MaxWait.count() / 4))
-                  : FirstWait;
+      Node.Active
+          ? MaxWait * 3 / 4 + milliseconds(Random() % (MaxWait.count() / 4))
+          : FirstWait;
   Node.CallEnd = Now + Wait;
   if (Source(Number, Now) == reply::Refuses)
     return schedule(2 * OneWay, [this, Number] { onFailure(Number); });
--- a/src/fleet/tests/watcherselection_tests.cpp
+++ b/src/fleet/tests/watcherselection_tests.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <random>
+#include <set>
 
 using namespace std::chrono_literals;
 using namespace tarragon;
@@ -28,6 +29,7 @@
     Peers.erase(Peers.begin() + static_cast<std::ptrdiff_t>(Own));
     watcher_selection Selection(All[Own], 3000ms, Own, Start);
     Selection.setPeers(Peers);
+    Selection.onPeerAge(0ms, Start);
     Watching += Selection.mustWatch(Start) ? 1 : 0;
   }
   return Watching;
@@ -64,8 +66,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_single_instance_watches) {
-  BOOST_TEST(
-      watcher_selection({"i", 1, "d"}, 3000ms, 1, Start).mustWatch(Start));
+  watcher_selection Selection({"i", 1, "d"}, 3000ms, 1, Start);
+  BOOST_TEST(Selection.mustWatch(Start));
+  Selection.onAnswer(Start);
+  BOOST_TEST(Selection.mustWatch(Start));
 }
 
 // The instances of highest capacity often share a domain and a fault.
@@ -75,14 +79,42 @@
   const watcher_selection::candidate Third{"third", 2, "a"};
   const watcher_selection::candidate Other{"other", 1, "b"};
   const watcher_selection::candidate Last{"last", 1, "c"};
-  watcher_selection OfOther(Other, 3000ms, 1, Start);
-  OfOther.setPeers({Strong, Second, Third, Last});
-  BOOST_TEST(OfOther.mustWatch(Start));
-  watcher_selection OfSecond(Second, 3000ms, 1, Start);
-  OfSecond.setPeers({Strong, Third, Other, Last});
-  watcher_selection OfThird(Third, 3000ms, 1, Start);
-  OfThird.setPeers({Strong, Second, Other, Last});
-  BOOST_TEST(OfSecond.mustWatch(Start) + OfThird.mustWatch(Start) < 2);
+  const std::vector<watcher_selection::candidate> All{Strong, Second, Third,
+                                                      Other, Last};
+  std::set<std::string> Domains;
+  for (const watcher_selection::candidate &Self : All) {
+    watcher_selection Selection(Self, 3000ms, 1, Start);
+    auto Peers = All;
+    std::erase_if(Peers,
+                  [&Self](const auto &Peer) { return Peer.Id == Self.Id; });
+    Selection.setPeers(Peers);
+    Selection.onPeerAge(0ms, Start);
+    if (Selection.mustWatch(Start))
+      BOOST_TEST(Domains.insert(Self.Domain).second);
+  }
+  BOOST_TEST(Domains.size() == watcher_selection::WatcherCount);
+}
+
+// All instances of a large deployment start together and know few peers, but a
+// seed has heard of most.
+BOOST_AUTO_TEST_CASE(the_calls_of_a_start_do_not_grow_with_the_instances) {
+  for (const std::size_t Count : {6, 84, 295, 900}) {
+    std::size_t Calls = 0;
+    for (std::size_t Own = 0; Own < Count; ++Own) {
+      watcher_selection Selection({"i" + std::to_string(Own), 1, "d"}, 6000ms,
+                                  Own, Start);
+      // Three seeds know no other at first, all others expect peers.
+      if (Own >= 3)
+        Selection.expectPeers();
+      Calls += Selection.mustWatch(Start + 50ms) ? 1 : 0;
+      Selection.onPeerCount(Count);
+      Calls += Selection.mustWatch(Start + 150ms) ? 1 : 0;
+      // A peer's copy has come.
+      Selection.onPeerAge(10ms, Start + 200ms);
+    }
+    BOOST_TEST(Calls < 6 * watcher_selection::StartCallers);
+    BOOST_TEST(Calls >= std::min<std::size_t>(Count, 10));
+  }
 }
 
 // A process that was suspended must not report an answer as more recent than it
--- a/src/fleet/watcherselection.cpp
+++ b/src/fleet/watcherselection.cpp
@@ -20,6 +20,10 @@
 constexpr unsigned ExtraShare = 4;
 /// Covers one call to the source.
 constexpr milliseconds HelpTime{1500};
+/// The number of instances that one of many assumes while it knows no other.
+constexpr std::size_t UnknownCount = 384;
+/// The age that is reported while no answer is known.
+constexpr milliseconds UnknownAge{3600000};
 constexpr milliseconds MinExtraTime{6000};
 constexpr milliseconds MaxExtraTime{10000};
 /// The expected number of callers in a slow slot.
@@ -39,7 +43,7 @@
                                      const std::uint64_t Seed,
                                      const time_point Now)
     : Self(std::move(NewSelf)), MaxDelay(NewMaxDelay), Random(Seed),
-      StartedAt(Now), LatestAnswer(Now - std::chrono::hours(1)), AsksUntil(Now),
+      StartedAt(Now), LatestAnswer(Now - UnknownAge), AsksUntil(Now),
       ExtraUntil(Now), SlotEnd(Now) {}
 
 auto watcher_selection::answerAge(const time_point Now) const -> milliseconds {
@@ -111,6 +115,26 @@
   return Before < WatcherCount;
 }
 
+auto watcher_selection::onPeerCount(const std::size_t Count) -> void {
+  MostReported = std::max(MostReported, Count);
+}
+
+auto watcher_selection::hasHeard() const -> bool {
+  return LatestAnswer > StartedAt - UnknownAge / 2;
+}
+
+auto watcher_selection::drawAtStart(const time_point Now) -> bool {
+  if (Now < SlotEnd)
+    return IsDrawnAtStart;
+  SlotEnd = Now + StartSlotTime;
+  const std::size_t Known = std::max(Instances, MostReported);
+  const auto Count =
+      static_cast<double>(ExpectsPeers && Known == 1 ? UnknownCount : Known);
+  std::uniform_real_distribution<> Share(0, 1);
+  IsDrawnAtStart = Share(Random) * Count < static_cast<double>(StartCallers);
+  return IsDrawnAtStart;
+}
+
 auto watcher_selection::draw(const time_point Now) -> void {
   if (!isStale(Now)) {
     Slots = 0;
@@ -136,6 +160,8 @@
 }
 
 auto watcher_selection::mustWatch(const time_point Now) -> bool {
+  if (!hasHeard() && !isStale(Now))
+    return drawAtStart(Now) || isCalledUpon(Now);
   draw(Now);
   return IsRegular || Now < ExtraUntil || isCalledUpon(Now);
 }
--- a/src/fleet/watcherselection.h
+++ b/src/fleet/watcherselection.h
@@ -25,6 +25,9 @@
 ///   that doesn't depend on the number of instances, and falls again if the
 ///   source stays silent.
 ///
+/// When many start together, each draws whether it calls the source before it
+/// has heard of an answer; the others wait for a copy from a peer.
+///
 /// Some of those that the source answers then go on watching for a while. Times
 /// are those of bootTime(), so that an instance that was suspended doesn't
 /// report an old answer as recent. Does no I/O; not thread-safe.
@@ -50,6 +53,13 @@
   /// to request help from.
   auto onFailure(time_point Now) -> std::size_t;
 
+  /// Tells that peers can be expected to answer soon, since this instance knows
+  /// where to find some and isn't one of those itself.
+  auto expectPeers() -> void { ExpectsPeers = true; }
+
+  /// Records how many live instances a peer knows.
+  auto onPeerCount(std::size_t Count) -> void;
+
   /// Records a peer's answerAge().
   auto onPeerAge(milliseconds Age, time_point Now) -> void;
 
@@ -71,7 +81,10 @@
   /// instances look for one that it answers.
   auto isStale(time_point Now) const -> bool;
 
-  static constexpr std::size_t WatcherCount = 3;
+  static constexpr std::size_t WatcherCount = 2;
+  /// Expected number of instances that call the source in one slot of a start.
+  static constexpr std::size_t StartCallers = 24;
+  static constexpr milliseconds StartSlotTime{100};
   /// Maximum of the expected number of instances that call the source in one
   /// slot while its latest answer is stale.
   static constexpr std::size_t MaxDrawn = 16;
@@ -84,6 +97,8 @@
 private:
   auto isCalledUpon(time_point Now) const -> bool;
   auto isRegularWatcher(const std::vector<candidate> &Peers) const -> bool;
+  auto hasHeard() const -> bool;
+  auto drawAtStart(time_point Now) -> bool;
   auto draw(time_point Now) -> void;
 
   candidate Self;
@@ -98,6 +113,9 @@
   std::size_t HelpCount = 0; ///< peers requested last
   bool IsRegular = true;     ///< one of the regular watchers
   std::size_t Instances = 1;
+  std::size_t MostReported = 1; ///< live instances that a peer knows
+  bool ExpectsPeers = false;
+  bool IsDrawnAtStart = false;
 };
 
 } // namespace tarragon::fleet
