--- a/src/fleet/watcherselection.cpp
+++ b/src/fleet/watcherselection.cpp
@@ -16,18 +16,20 @@
 constexpr double HelpShare = 0.35;
 constexpr std::size_t MinHelpers = 4;
 constexpr std::size_t MaxHelpers = 16;
-/// One in so many instances that called the source on request goes on watching.
-constexpr unsigned ExtraShare = 4;
 /// Covers one call to the source.
 constexpr milliseconds HelpTime{1500};
-/// The number of instances that one of many assumes while it knows no other.
-constexpr std::size_t UnknownCount = 384;
-/// The age that is reported while no answer is known.
-constexpr milliseconds UnknownAge{3600000};
+/// One in so many instances that called the source on request goes on watching.
+constexpr unsigned ExtraShare = 4;
+/// How long it does so.
 constexpr milliseconds MinExtraTime{6000};
 constexpr milliseconds MaxExtraTime{10000};
 /// The expected number of callers in a slow slot.
 constexpr std::size_t SlowDrawn = 8;
+/// The number of instances that one assumes while it expects peers but knows
+/// none. If it is too low, all call at a start.
+constexpr std::size_t UnknownCount = 384;
+/// The age that is reported while no answer is known.
+constexpr milliseconds UnknownAge{3600000};
 
 /// Orders instances of higher capacity first.
 using rank = std::tuple<double, std::uint64_t>;
--- /dev/null
+++ b/src/gateway/gatewayevents.cpp
@@ -0,0 +1,103 @@
+// What happens outside the way of a request: notices and crashes of targets,
+// and suspensions of the machine.
+#include "gateway/gateway.h"
+
+#include "gateway/activerequest.h"
+#include "gateway/internal/answerwriter.h"
+#include "global/boottime.h"
+#include "global/log.h"
+
+namespace tarragon::gateway {
+
+namespace {
+
+constexpr unsigned StatusUnavailable = 503;
+/// Shorter ones are not told from the time between two readings of the clocks.
+constexpr milliseconds MinSuspension{50};
+
+} // namespace
+
+auto gateway::markLeaving(const std::string &Target,
+                          const std::int64_t StartedAtMs) -> void {
+  const auto Changes = Targets.registry().markLeaving(Target, StartedAtMs);
+  if (!Changes.empty())
+    applyTargets(Changes);
+}
+
+auto gateway::recordNotices(const std::string &Target,
+                            const std::int64_t StartedAtMs,
+                            const exchange_answer &Answer) -> void {
+  const std::string *Leaving = Answer.find(Settings.Names.Leaving);
+  if (Leaving && *Leaving == "1") {
+    const route::target_entry *Entry = Targets.registry().find(Target);
+    const bool IsNews = Entry && !Entry->Draining;
+    markLeaving(Target, StartedAtMs);
+    if (IsNews && LeavingHandler)
+      LeavingHandler(Target, StartedAtMs);
+  }
+  if (Answer.Status != StatusUnavailable)
+    return;
+  const std::string *Text = Answer.find("Retry-After");
+  const auto Pause = Text ? internal::parseSeconds(*Text) : std::nullopt;
+  if (!Pause || Pause->count() == 0)
+    return;
+  const auto Now = std::chrono::steady_clock::now();
+  if (Targets.registry().find(Target) &&
+      !Targets.health(Target).isClosed(Now)) {
+    Metrics.counter("tarragon_target_closures_total").add();
+    log::write(log::level::Info, log::part::Admission,
+               "target asks for no requests for a while",
+               {{"target", Target}, {"ms", std::to_string(Pause->count())}});
+  }
+  Targets.close(Target, Now + *Pause);
+}
+
+auto gateway::checkCrash(const std::string &Target, const fingerprint Request)
+    -> void {
+  const route::target_entry *Entry = Targets.registry().find(Target);
+  if (!Entry)
+    return;
+  const auto Probe = pool(*Entry).openNew();
+  if (!Probe)
+    return;
+  Probe->setClosedHandler([this, Probe = std::weak_ptr(Probe), Target,
+                           Request] {
+    const auto Ended = Probe.lock();
+    if (!Ended || Ended->isConnected())
+      return;
+    Crashes.add(Target, Request, std::chrono::steady_clock::now());
+    log::write(log::level::Info, log::part::Admission,
+               "target crashed while running a request",
+               {{"target", Target}, {"fingerprint", std::to_string(Request)}});
+  });
+}
+
+auto gateway::publishCrashes(const time_point Now) -> void {
+  for (const admission::crash_report &Report : Crashes.take(Now)) {
+    Poison.recordCrash(Report, Now);
+    if (CrashHandler)
+      CrashHandler(Report);
+  }
+}
+
+auto gateway::checkSuspension() -> void {
+  const auto Offset = bootTime() - std::chrono::steady_clock::now();
+  const auto Span =
+      std::chrono::duration_cast<milliseconds>(Offset - ClockOffset);
+  if (Span < MinSuspension)
+    return;
+  ClockOffset = Offset;
+  onSuspended(Span);
+}
+
+auto gateway::onSuspended(const milliseconds Span) -> void {
+  log::write(log::level::Warning, log::part::Entry, "the machine was suspended",
+             {{"ms", std::to_string(Span.count())},
+              {"at_hand", std::to_string(Active.size())}});
+  const std::vector<std::shared_ptr<active_request>> All(Active.begin(),
+                                                         Active.end());
+  for (const std::shared_ptr<active_request> &Request : All)
+    Request->shorten(Span);
+}
+
+} // namespace tarragon::gateway
