--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,13 +21,17 @@
 MIN_MACHINES = 2
 
 
+# Covers `meta` and `status`, since the limit is that of the whole object.
+REST_BYTES = 512
+
+
 def odd_entry():
-    """An entry whose `slots` is a list; as large as the store takes."""
+    """An entry whose `slots` is a list; nearly as large as the store takes."""
     head = ('{"service":"s1","address":"127.0.0.1:9","zone":"za",'
             '"version":"v1","state":"ready","coldRemainingMs":0,'
             '"sequence":1,"born":1,"slots":[')
     item = "[0]"
-    count = (harness.VALUE_BYTES - len(head) - 2) // (len(item) + 1)
+    count = (harness.VALUE_BYTES - REST_BYTES - len(head)) // (len(item) + 1)
     return head + ",".join([item] * count) + "]}"
 
 
@@ -83,7 +87,13 @@
     counts.clear()
     if trouble:
         for number in range(ENTRIES):
-            system.store.put("servers", f"i-other{number}", odd_entry())
+            name = f"i-other{number}"
+            system.store.put("servers", name, odd_entry())
+            revision, text = system.store.objects["servers"][name]
+            size = len(system.store._object(name, revision, text))
+            system.record.say(f"servers/{name}: an object of {size} bytes")
+            if size > harness.VALUE_BYTES:
+                raise harness.CannotRun("the object is over valueBytes")
     await asyncio.sleep(PLAY_S)
     system.record.say(f"then: answers by status {counts}; ends {ends}; peak "
                       f"MB { {n: round(mb) for n, mb in peaks_mb.items()} }")
