Keep a reused connection open when its earlier exchange is given up

Cause: the pool listed the connections of abandoned exchanges apart from all others. So did acquire() in a full pool, and the destructor when the target started again or left. close() calls no handler, so the second request was never told.

Why it works: one list, in which each connection carries the time until which its abandoned exchange is waited for; handing the connection out clears it, so nothing can name a connection that another request uses.

--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -21,27 +21,25 @@
       MaxConnections(NewMaxConnections), Memory(std::move(NewMemory)) {}
 
 connection_pool::~connection_pool() {
-  for (const connection_pointer &Connection : Connections)
-    if (Connection->isFree())
-      Connection->close();
-  for (const abandoned_exchange &Exchange : Abandoned)
-    Exchange.Connection->close();
+  for (const pooled_connection &Each : Connections)
+    if (Each.Connection->isFree() || Each.AbandonedUntil)
+      Each.Connection->close();
 }
 
 auto connection_pool::removeUnusable(const time_point Now) -> void {
-  std::erase_if(Connections, [&](const connection_pointer &Connection) {
-    if (Connection->isIdle() && !Connection->isReusable(Now))
-      Connection->close();
-    return !Connection->isOpen();
+  std::erase_if(Connections, [&](const pooled_connection &Each) {
+    if (Each.Connection->isIdle() && !Each.Connection->isReusable(Now))
+      Each.Connection->close();
+    return !Each.Connection->isOpen();
   });
 }
 
 auto connection_pool::openNew() -> connection_pointer {
-  if (static_cast<int>(Connections.size()) >= MaxConnections)
+  if (isFull())
     return nullptr;
   auto Connection =
       std::make_shared<http_connection>(Loop, Target, ConnectTimeout, Memory);
-  Connections.push_back(Connection);
+  Connections.push_back({Connection, std::nullopt});
   Connection->open();
   return Connection;
 }
@@ -49,43 +47,62 @@
 auto connection_pool::acquire(const bool Fresh, const time_point Now)
     -> connection_pointer {
   removeUnusable(Now);
-  connection_pointer Best;
-  for (const connection_pointer &Connection : Connections) {
-    if (!Connection->isFree())
+  pooled_connection *Best = nullptr;
+  for (pooled_connection &Each : Connections) {
+    const http_connection &Connection = *Each.Connection;
+    if (!Connection.isFree())
       continue;
-    if (Fresh && Connection->isIdle() &&
-        Now - Connection->idleSince() > MaxFreshIdleTime)
+    if (Fresh && Connection.isIdle() &&
+        Now - Connection.idleSince() > MaxFreshIdleTime)
       continue;
-    if (!Best || Connection->idleSince() > Best->idleSince())
-      Best = Connection;
+    if (!Best || Connection.idleSince() > Best->Connection->idleSince())
+      Best = &Each;
   }
-  if (Best)
-    return Best;
-  if (static_cast<int>(Connections.size()) >= MaxConnections &&
-      !Abandoned.empty()) {
-    Abandoned.front().Connection->close();
-    Abandoned.erase(Abandoned.begin());
+  if (Best) {
+    Best->AbandonedUntil = std::nullopt;
+    return Best->Connection;
+  }
+  if (isFull()) {
+    closeOldestAbandoned();
     removeUnusable(Now);
   }
-  if (static_cast<int>(Connections.size()) >= MaxConnections && Fresh) {
-    const auto Idle =
-        std::find_if(Connections.begin(), Connections.end(),
-                     [](const connection_pointer &C) { return C->isFree(); });
-    if (Idle != Connections.end()) {
-      (*Idle)->close();
-      removeUnusable(Now);
-    }
+  if (isFull() && Fresh) {
+    closeOneFree();
+    removeUnusable(Now);
   }
   return openNew();
 }
 
+auto connection_pool::closeOldestAbandoned() -> void {
+  const pooled_connection *Oldest = nullptr;
+  for (const pooled_connection &Each : Connections)
+    if (Each.AbandonedUntil &&
+        (!Oldest || *Each.AbandonedUntil < *Oldest->AbandonedUntil))
+      Oldest = &Each;
+  if (Oldest)
+    Oldest->Connection->close();
+}
+
+auto connection_pool::closeOneFree() -> void {
+  const auto Free = std::find_if(
+      Connections.begin(), Connections.end(),
+      [](const pooled_connection &Each) { return Each.Connection->isFree(); });
+  if (Free != Connections.end())
+    Free->Connection->close();
+}
+
 auto connection_pool::keepAbandoned(const connection_pointer &Connection,
                                     const time_point Now) -> void {
-  if (!Connection->isConnected()) {
+  const auto Pooled = std::find_if(Connections.begin(), Connections.end(),
+                                   [&](const pooled_connection &Each) {
+                                     return Each.Connection == Connection;
+                                   });
+  // The pool of an earlier incarnation of the target opened the others.
+  if (Pooled == Connections.end() || !Connection->isConnected()) {
     Connection->close();
     return;
   }
-  Abandoned.push_back({Connection, Now + MaxAbandonedTime});
+  Pooled->AbandonedUntil = Now + MaxAbandonedTime;
 }
 
 auto connection_pool::warm() -> void {
@@ -95,24 +112,25 @@
 
 auto connection_pool::sweep(const time_point Now) -> void {
   bool Unresponsive = false;
-  std::erase_if(Abandoned, [&](const abandoned_exchange &Exchange) {
-    if (!Exchange.Connection->isOpen() || Exchange.Connection->isFree())
-      return true;
-    if (Now < Exchange.Until)
-      return false;
-    Exchange.Connection->close();
-    Unresponsive = true;
-    return true;
-  });
+  for (pooled_connection &Each : Connections) {
+    if (!Each.AbandonedUntil)
+      continue;
+    if (Each.Connection->isFree()) {
+      Each.AbandonedUntil = std::nullopt;
+    } else if (Now >= *Each.AbandonedUntil) {
+      Unresponsive = Unresponsive || Each.Connection->isOpen();
+      Each.Connection->close();
+    }
+  }
   if (Unresponsive)
     closeFree();
   removeUnusable(Now);
 }
 
 auto connection_pool::closeFree() -> void {
-  for (const connection_pointer &Connection : Connections)
-    if (Connection->isFree())
-      Connection->close();
+  for (const pooled_connection &Each : Connections)
+    if (Each.Connection->isFree())
+      Each.Connection->close();
 }
 
 } // namespace tarragon::gateway
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -3,6 +3,7 @@
 #include "gateway/httpconnection.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace tarragon::gateway {
@@ -48,20 +49,31 @@
   auto size() const -> std::size_t { return Connections.size(); }
 
 private:
-  struct abandoned_exchange {
+  struct pooled_connection {
     connection_pointer Connection;
-    time_point Until;
+    /// When an abandoned exchange is given up; nothing if the connection is
+    /// free or in use by a request.
+    std::optional<time_point> AbandonedUntil;
   };
 
   /// Removes closed connections, and closes idle ones that can't be reused.
   auto removeUnusable(time_point Now) -> void;
 
+  /// Closes the connection whose exchange was abandoned first, if any.
+  auto closeOldestAbandoned() -> void;
+
+  /// Closes one free connection, if any.
+  auto closeOneFree() -> void;
+
+  auto isFull() const -> bool {
+    return static_cast<int>(Connections.size()) >= MaxConnections;
+  }
+
   boost::asio::io_context &Loop;
   http_connection::endpoint Target;
   int MaxConnections;
   std::shared_ptr<receive_budget> Memory;
-  std::vector<connection_pointer> Connections;
-  std::vector<abandoned_exchange> Abandoned;
+  std::vector<pooled_connection> Connections;
 };
 
 } // namespace tarragon::gateway
