--- a/bench/core/childprocess.cpp
+++ b/bench/core/childprocess.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 #include <fcntl.h>
@@ -101,4 +102,13 @@
   return milliseconds((UserTicks + SystemTicks) * 1000 / TicksPerSecond);
 }
 
+auto child_process::peakMemory() const -> std::size_t {
+  std::ifstream File("/proc/" + std::to_string(Process) + "/status");
+  constexpr std::string_view Label = "VmHWM:";
+  for (std::string Line; std::getline(File, Line);)
+    if (Line.starts_with(Label))
+      return std::stoul(Line.substr(Label.size())) * 1024;
+  return 0;
+}
+
 } // namespace tarragon::bench
--- a/bench/core/childprocess.h
+++ b/bench/core/childprocess.h
@@ -31,6 +31,10 @@
   /// Returns the user and system time used so far.
   auto cpuTime() const -> milliseconds;
 
+  /// Returns the largest resident memory so far in bytes, or 0 if the process
+  /// has ended.
+  auto peakMemory() const -> std::size_t;
+
 private:
   auto end() -> void;
 
