--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -165,6 +165,7 @@
   case exchange_end::Rejected:
     return attempt_end::Rejected;
   case exchange_end::Broken:
+  case exchange_end::TooLong:
     return attempt_end::Broken;
   case exchange_end::Complete:
     break;
--- a/src/gateway/httpconnection.cpp
+++ b/src/gateway/httpconnection.cpp
@@ -144,7 +144,7 @@
   Pending.append(Buffer.data(), Count);
   consume();
   if (State == state::Busy && !isWithinLimits())
-    return fail();
+    return failWith(exchange_end::TooLong);
   if (State != state::Closed)
     read();
 }
@@ -155,6 +155,8 @@
     const std::size_t Used =
         Parser->put(asio::buffer(Pending.data(), Pending.size()), Error);
     Pending.erase(0, Used);
+    if (Error == http::error::header_limit || Error == http::error::body_limit)
+      return failWith(exchange_end::TooLong);
     if (Error && Error != http::error::need_more)
       return fail();
     // An eager parser starts the body although the head is refused because of
@@ -225,18 +227,19 @@
 }
 
 auto http_connection::fail() -> void {
+  const bool GotBytes = Answered || (Parser && Parser->got_some());
+  failWith(GotBytes ? exchange_end::Broken : exchange_end::Rejected);
+}
+
+auto http_connection::failWith(const exchange_end End) -> void {
   const bool Sent = Connected;
-  const bool Answered = this->Answered || (Parser && Parser->got_some());
   const handler Done = std::move(Handler);
   const closed_handler Closed = std::move(ClosedHandler);
   close();
   if (Closed && (!Done || !Sent))
     Closed();
   if (Done)
-    Done(!Sent      ? exchange_end::NotSent
-         : Answered ? exchange_end::Broken
-                    : exchange_end::Rejected,
-         {});
+    Done(Sent ? End : exchange_end::NotSent, {});
 }
 
 auto http_connection::close() -> void {
--- a/src/gateway/httpconnection.h
+++ b/src/gateway/httpconnection.h
@@ -87,6 +87,8 @@
   auto resetParser() -> void;
   auto finish(exchange_end End, exchange_answer Answer) -> void;
   auto fail() -> void;
+  /// Closes the connection and reports \p End, or that nothing was sent.
+  auto failWith(exchange_end End) -> void;
 
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer ConnectTimer;
--- a/src/gateway/types/exchangeanswer.h
+++ b/src/gateway/types/exchangeanswer.h
@@ -14,7 +14,8 @@
   Complete, ///< a complete response was received
   NotSent,  ///< no byte of the request was sent
   Rejected, ///< sent, but a new connection closed before any response
-  Broken    ///< sent, but no complete response was received
+  Broken,   ///< sent, but no complete response was received
+  TooLong   ///< sent, but the response exceeds a limit of this side
 };
 
 /// A complete HTTP response from a server.
