Answer what a planned stop can't finish, and refuse late orders

Late requests were taken as long as the recorded 0.99 latency of their route fitted in.

Why it works: no request that was read is left when the process exits, and an order whose outcome would be unknown is not sent.

--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -85,6 +85,10 @@
   perform(Plan.onTimer(std::chrono::steady_clock::now()));
 }
 
+auto active_request::endNow() -> void {
+  perform(Plan.endNow(std::chrono::steady_clock::now()));
+}
+
 auto active_request::perform(const placement::plan_actions &Actions) -> void {
   for (const placement::plan_action &Action : Actions) {
     if (const auto *Send = std::get_if<placement::send_attempt>(&Action))
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -34,6 +34,9 @@
   /// suspended, and ends the request if it has passed.
   auto shorten(milliseconds Span) -> void;
 
+  /// Answers the request now, as the instance stops.
+  auto endNow() -> void;
+
 private:
   struct exchange {
     std::shared_ptr<http_connection> Connection;
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -175,15 +175,23 @@
 }
 
 auto caller_session::refuse(const unsigned Status,
-                            const std::string_view Reason) -> void {
+                            const std::string_view Reason,
+                            header_fields Headers) -> void {
   caller_answer Answer;
   Answer.Status = Status;
+  Answer.Headers = std::move(Headers);
   Answer.Body = std::string(Reason) + "\n";
   ClosesAfterAnswer = true;
   State = state::Writing;
   write(internal::writeAnswer(Answer, true));
 }
 
+auto caller_session::refuseUnfinished() -> void {
+  if (State == state::Reading && RequestStarted)
+    // Another instance can take it at once.
+    refuse(503, "this instance is stopping", {{"Retry-After", "0"}});
+}
+
 auto caller_session::write(std::string Bytes) -> void {
   Output = std::move(Bytes);
   auto Self = shared_from_this();
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -43,6 +43,9 @@
   /// Closes the connection after the next answer.
   auto closeAfterAnswer() -> void { ClosesAfterAnswer = true; }
 
+  /// Refuses a request that is still being received, as the instance stops.
+  auto refuseUnfinished() -> void;
+
   auto close() -> void;
 
   /// Returns the caller's IP address, or an empty string once disconnected.
@@ -76,7 +79,8 @@
   /// the caller expects it.
   auto onHeader() -> void;
   auto onRequest() -> void;
-  auto refuse(unsigned Status, std::string_view Reason) -> void;
+  auto refuse(unsigned Status, std::string_view Reason,
+              header_fields Headers = {}) -> void;
   auto write(std::string Bytes) -> void;
   auto onWritten(const boost::system::error_code &Error) -> void;
   auto linger() -> void;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -270,9 +270,16 @@
   ++Exchanges;
 }
 
-auto gateway::stopsBeforeAnswer(const route::route &Route, const time_point Now)
-    -> bool {
-  return StopsAt && Now + latencies(Route).quantile(0.99) > *StopsAt;
+auto gateway::stopsBeforeAnswer(const route::route &Route,
+                                const caller_request &Request,
+                                const time_point Now) -> bool {
+  if (!Stop)
+    return false;
+  const bool MayRunAtEnd = Now + requestTimeout(Request, Route) > Stop->End;
+  if (MayRunAtEnd && Now >= Stop->CallersGone &&
+      Route.Repeatability == route::repeatability::NonIdempotent)
+    return true;
+  return Now + latencies(Route).quantile(0.99) > Stop->End;
 }
 
 auto gateway::jittered(const milliseconds Time) -> milliseconds {
@@ -291,7 +298,7 @@
   if (!Route)
     return refuse(Session, Request, {404, "no route", {}});
   const auto Now = std::chrono::steady_clock::now();
-  if (stopsBeforeAnswer(*Route, Now))
+  if (stopsBeforeAnswer(*Route, Request, Now))
     return refuse(Session, Request,
                   {503, "this instance is stopping", RetryElsewhere});
   if (Poison.verdict(fingerprintOf(Request), Now) ==
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include <random>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace tarragon::gateway {
 
@@ -74,8 +75,22 @@
   /// callers' time went on, and ends those whose deadline has passed.
   auto onSuspended(milliseconds Span) -> void;
 
-  /// Refuses all further requests that can't be answered before \p Until.
-  auto refuseAfter(time_point Until) -> void { StopsAt = Until; }
+  /// When an instance that stops ends its service.
+  struct stop_times {
+    /// All callers that follow the directory have left by then.
+    time_point CallersGone;
+    time_point End;
+  };
+
+  /// Refuses all further requests that probably can't be answered before the
+  /// end. Once the callers have left, also those that may not be repeated and
+  /// might still be running at the end: their callers would not learn whether
+  /// they ran.
+  auto prepareStop(stop_times Times) -> void { Stop = Times; }
+
+  /// Answers all requests in flight: with the parts received, if they are
+  /// enough, or that they have not run, or that this is unknown.
+  auto endRequests() -> void;
 
   auto requestsInFlight() const -> std::size_t { return Active.size(); }
   auto targets() -> placement::target_set & { return Targets; }
@@ -149,7 +164,10 @@
                         const caller_request &Request)
       -> placement::plan_settings;
   auto tailLateness() const -> microseconds;
-  auto stopsBeforeAnswer(const route::route &Route, time_point Now) -> bool;
+  auto stopsBeforeAnswer(const route::route &Route,
+                         const caller_request &Request, time_point Now) -> bool;
+  /// Returns a copy, since a request that ends is removed from the set.
+  auto activeRequests() const -> std::vector<std::shared_ptr<active_request>>;
   auto sweep() -> void;
   auto publishCrashes(time_point Now) -> void;
   auto warmPools() -> void;
@@ -180,7 +198,7 @@
   time_point UsedCoresReadAt;
   double UsedCores = 0;
   boost::asio::steady_timer SweepTimer;
-  std::optional<time_point> StopsAt;
+  std::optional<stop_times> Stop;
   serving_state Serving;
   bool Warmed = false;          ///< initial connections were opened
   time_point ServingChangedAt;  ///< when the set of serving instances changed
--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -1,5 +1,5 @@
 // What happens outside the way of a request: notices and crashes of targets,
-// and suspensions of the machine.
+// suspensions of the machine and the end of the instance.
 #include "gateway/gateway.h"
 
 #include "gateway/activerequest.h"
@@ -94,10 +94,18 @@
   log::write(log::level::Warning, log::part::Entry, "the machine was suspended",
              {{"ms", std::to_string(Span.count())},
               {"at_hand", std::to_string(Active.size())}});
-  const std::vector<std::shared_ptr<active_request>> All(Active.begin(),
-                                                         Active.end());
-  for (const std::shared_ptr<active_request> &Request : All)
+  for (const std::shared_ptr<active_request> &Request : activeRequests())
     Request->shorten(Span);
 }
 
+auto gateway::endRequests() -> void {
+  for (const std::shared_ptr<active_request> &Request : activeRequests())
+    Request->endNow();
+}
+
+auto gateway::activeRequests() const
+    -> std::vector<std::shared_ptr<active_request>> {
+  return {Active.begin(), Active.end()};
+}
+
 } // namespace tarragon::gateway
--- a/src/gateway/httpserver.cpp
+++ b/src/gateway/httpserver.cpp
@@ -92,6 +92,11 @@
   Acceptor.close(Ignored);
 }
 
+auto http_server::refuseUnfinished() -> void {
+  for (const session_pointer &Session : Sessions)
+    Session->refuseUnfinished();
+}
+
 auto http_server::isBusy() const -> bool {
   return std::any_of(
       Sessions.begin(), Sessions.end(),
--- a/src/gateway/httpserver.h
+++ b/src/gateway/httpserver.h
@@ -43,6 +43,9 @@
   /// Stops accepting connections; open ones go on.
   auto stopAccepting() -> void;
 
+  /// Refuses all requests that are still being received.
+  auto refuseUnfinished() -> void;
+
   /// Returns whether a request is being received, processed or answered.
   auto isBusy() const -> bool;
 
--- a/src/gateway/tests/callers_tests.cpp
+++ b/src/gateway/tests/callers_tests.cpp
@@ -74,12 +74,64 @@
 BOOST_AUTO_TEST_CASE(requests_that_cannot_finish_before_the_stop_are_refused) {
   gateway_case Case;
   Case.routes();
-  Case.Gateway.refuseAfter(std::chrono::steady_clock::now());
+  const auto Now = std::chrono::steady_clock::now();
+  Case.Gateway.prepareStop({Now, Now});
   const auto Answer = Case.get("/one/1");
   BOOST_TEST(status(Answer) == "503");
   BOOST_TEST(headerValue(Answer, "Retry-After") != "none");
 }
 
+// The callers that follow the directory have left. One that still uses its
+// connection is better off elsewhere than with an order of unknown fate.
+BOOST_AUTO_TEST_CASE(a_late_order_that_may_run_at_the_stop_is_refused) {
+  using namespace std::chrono_literals;
+  for (const auto Repeatability : {route::repeatability::NonIdempotent,
+                                   route::repeatability::Idempotent}) {
+    const bool IsOrder = Repeatability == route::repeatability::NonIdempotent;
+    gateway_case Case;
+    auto &Target = Case.target("t0", "s0", [](const std::string &Request) {
+      return scripted_server::reaction{successResponse(Request, "x")};
+    });
+    Case.routes(Repeatability); // its timeout is 1 s
+    const auto Now = std::chrono::steady_clock::now();
+    Case.Gateway.prepareStop({Now + 60s, Now + 700ms});
+    BOOST_TEST(status(Case.get("/one/1")) == "200");
+    Case.Gateway.prepareStop({Now, Now + 700ms});
+    BOOST_TEST(status(Case.get("/one/2")) == (IsOrder ? "503" : "200"));
+    BOOST_TEST(status(Case.get("/one/3", "Left: 100\r\n")) == "200");
+    BOOST_TEST(Target.requests().size() == (IsOrder ? 2U : 3U));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_a_stop_answers_every_request) {
+  gateway_case Case;
+  Case.target("t0", "s0", [](const std::string &) {
+    return scripted_server::reaction{}; // never answers
+  });
+  Case.target("t1", "s1", [](const std::string &Request) {
+    return scripted_server::reaction{
+        successResponse(Request, std::string(16, 'a'))};
+  });
+  Case.routes(route::repeatability::NonIdempotent);
+  scripted_caller Order(Case.Loop, Case.Address);
+  Order.send("GET /one/1 HTTP/1.1\r\nHost: h.example\r\nId: q1\r\n\r\n");
+  scripted_caller Query(Case.Loop, Case.Address);
+  Query.send("GET /all/1 HTTP/1.1\r\nHost: h.example\r\nId: q2\r\n\r\n");
+  scripted_caller Unfinished(Case.Loop, Case.Address);
+  Unfinished.send("POST /one/1 HTTP/1.1\r\nHost: h.example\r\n");
+  Case.Loop.run_for(std::chrono::milliseconds(50));
+  Case.Gateway.endRequests();
+  Case.Server.refuseUnfinished();
+  BOOST_TEST(Case.Gateway.requestsInFlight() == 0U);
+  BOOST_REQUIRE(runUntil(Case.Loop, [&] { return !Case.Server.isBusy(); }));
+  Case.Loop.run_for(std::chrono::milliseconds(50));
+  BOOST_TEST(status(Order.received()) == "504");
+  BOOST_TEST(status(Query.received()) == "200");
+  BOOST_TEST(headerValue(Query.received(), "Missing") == "1");
+  BOOST_TEST(status(Unfinished.received()) == "503");
+  BOOST_TEST(headerValue(Unfinished.received(), "Retry-After") == "0");
+}
+
 // Guards against arbitrary bytes from one caller that break the server for the
 // next one.
 BOOST_AUTO_TEST_CASE(random_bytes_from_callers_do_not_affect_others) {
--- a/src/gateway/tests/httpconnection_tests.cpp
+++ b/src/gateway/tests/httpconnection_tests.cpp
@@ -108,6 +108,25 @@
   BOOST_TEST((Case.End == exchange_end::Broken));
 }
 
+// A target stops in the middle of the head of its answer and closes. What was
+// received must not pass for an answer with an empty or short body.
+BOOST_AUTO_TEST_CASE(an_answer_cut_in_its_head_is_broken) {
+  const std::string Heads[] = {
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 5\r\nX: y\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-Id: a\r\nX: y\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n"};
+  for (const std::string &Head : Heads)
+    for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+      exchange_case Case({{Head.substr(0, Length), true}});
+      Case.open();
+      Case.run("a");
+      BOOST_TEST((Case.End != exchange_end::Complete),
+                 "complete after " << Length << " bytes");
+      BOOST_TEST(!Case.isReusable());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(bytes_that_are_not_http_are_broken) {
   exchange_case Case({{"\x01\x02 what\r\n\r\n"}});
   Case.open();
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -223,6 +223,18 @@
   return Actions;
 }
 
+auto request_plan::endNow(const time_point Now) -> plan_actions {
+  plan_actions Actions;
+  if (Finished)
+    return Actions;
+  if (countParts(Now, false).Answered >= Settings.MinParts)
+    finish(plan_verdict::Answer, Now, Actions);
+  else
+    finish(anyMayHaveRun() ? plan_verdict::TimedOut : plan_verdict::NotRun, Now,
+           Actions);
+  return Actions;
+}
+
 auto request_plan::cancelInFlight(const std::size_t Index, const time_point Now,
                                   plan_actions &Actions) -> void {
   part &Part = Parts[Index];
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -52,6 +52,10 @@
   /// Cancels all attempts in flight after the caller disconnected.
   auto abandon(time_point Now) -> plan_actions;
 
+  /// Ends the request before its deadline, as the instance stops: with the
+  /// parts that are there, if they are enough.
+  auto endNow(time_point Now) -> plan_actions;
+
   /// Brings the deadline forward by \p Span, in which the machine was suspended
   /// and the clock of this plan stood still; onTimer() is due afterwards.
   auto shorten(milliseconds Span) -> void;
--- a/src/placement/tests/requestplan_tests.cpp
+++ b/src/placement/tests/requestplan_tests.cpp
@@ -265,4 +265,24 @@
                                      Start + 1850ms)) == plan_verdict::Answer));
 }
 
+BOOST_AUTO_TEST_CASE(an_early_end_uses_the_parts_that_are_there) {
+  for (const std::size_t MinParts : {1, 2}) {
+    plan_fixture Fixture;
+    plan_settings Settings = Fixture.plan({"s0", "s1"}, Idempotent).settings();
+    Settings.MinParts = MinParts;
+    request_plan Plan({Fixture.Targets, Fixture.Budgets, Fixture.Latencies},
+                      Settings);
+    static_cast<void>(Plan.start(Start));
+    static_cast<void>(
+        Plan.onEnded({0, 0}, attempt_end::Answered, Start + 20ms));
+    const auto Ended = Plan.endNow(Start + 30ms);
+    const auto Expected =
+        MinParts == 1 ? plan_verdict::Answer : plan_verdict::TimedOut;
+    BOOST_TEST((verdictOf(Ended) == Expected));
+    BOOST_TEST(countOf<cancel_attempt>(Ended) == 1);
+    BOOST_TEST(Plan.finished());
+    BOOST_TEST(Plan.endNow(Start + 31ms).empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
