Judge a request on a kept connection by the limits in force

Cause: the parser got its limits when the answer before had been written or the connection accepted, up to 12 s before the request.

Related: maxHeaderBytes in the same way; both also when lowered; the times of a request under way followed a new version half way.

Why it works: the limits in force at the first byte of a request hold for it to its end.

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -59,17 +59,23 @@
 }
 
 auto caller_session::startRequest() -> void {
-  const route::caller_limits &Limits = Server.limits();
   Parser.emplace();
   Parser->eager(true);
-  Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
-  Parser->body_limit(Limits.BodyBytes);
   State = state::Reading;
   RequestStarted = false;
   HeaderHandled = false;
   StateSince = std::chrono::steady_clock::now();
 }
 
+auto caller_session::beginRequest() -> void {
+  // A kept connection may have been idle since before the version in force.
+  Limits = Server.limits();
+  Parser->header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
+  Parser->body_limit(Limits.BodyBytes);
+  RequestStarted = true;
+  StateSince = std::chrono::steady_clock::now();
+}
+
 auto caller_session::read() -> void {
   if (ReadOutstanding || State == state::Closed ||
       Pending.size() > Server.limits().HeaderBytes + MaxPendingBytes)
@@ -106,10 +112,8 @@
 
 auto caller_session::consume() -> void {
   while (State == state::Reading && !Pending.empty()) {
-    if (!RequestStarted) {
-      RequestStarted = true;
-      StateSince = std::chrono::steady_clock::now();
-    }
+    if (!RequestStarted)
+      beginRequest();
     boost::system::error_code Error;
     const std::size_t Used =
         Parser->put(asio::buffer(Pending.data(), Pending.size()), Error);
@@ -228,14 +232,17 @@
 }
 
 auto caller_session::closeIfTimedOut(const time_point Now) -> void {
-  const route::caller_limits &Limits = Server.limits();
   switch (State) {
   case state::Reading:
-    if (RequestStarted && !Parser->is_header_done() &&
-        Now - StateSince > Limits.HeaderTimeout)
+    if (!RequestStarted) {
+      if (Now - StateSince > Server.limits().IdleTimeout + IdleGrace)
+        linger();
+      return;
+    }
+    if (!Parser->is_header_done() && Now - StateSince > Limits.HeaderTimeout)
       return refuse(408, "request took too long");
     if (Now - StateSince > Limits.IdleTimeout + IdleGrace)
-      RequestStarted ? disconnect() : linger();
+      disconnect();
     return;
   case state::Lingering:
     if (Now - StateSince > MaxLingerTime)
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -71,6 +71,8 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   auto startRequest() -> void;
+  /// Begins a request with its first byte: the limits now in force hold for it.
+  auto beginRequest() -> void;
   auto read() -> void;
   auto onRead(const boost::system::error_code &Error, std::size_t Count)
       -> void;
@@ -95,6 +97,7 @@
   bool HeaderHandled = false; ///< onHeader() was called for the current request
   bool KeepAlive = true;      ///< as requested by the caller
   unsigned HttpVersion = 11;  ///< as Beast encodes it: 11 is HTTP/1.1
+  route::caller_limits Limits; ///< of the current request
   std::optional<request_parser> Parser;
   std::string Pending;
   std::string Output;
--- a/src/gateway/tests/callers_tests.cpp
+++ b/src/gateway/tests/callers_tests.cpp
@@ -132,6 +132,65 @@
   BOOST_TEST(headerValue(Unfinished.received(), "Retry-After") == "0");
 }
 
+// A version changes a limit while connections are kept. Guards against requests
+// that are judged by the version that was in force when the answer before them
+// was sent.
+BOOST_AUTO_TEST_CASE(a_request_on_a_kept_connection_has_the_limits_in_force) {
+  gateway_case Case;
+  Case.target("t0", "s0", [](const std::string &Request) {
+    return scripted_server::reaction{successResponse(Request, "x")};
+  });
+  Case.routes();
+  route::caller_limits Small = Case.Server.limits();
+  route::caller_limits Large = Small;
+  Large.HeaderBytes = 8000;
+  Large.BodyBytes = 500;
+  const auto Post = [](const std::string &Id, const std::size_t HeaderBytes,
+                       const std::size_t BodyBytes) {
+    return "POST /one/1 HTTP/1.1\r\nHost: h.example\r\nId: " + Id +
+           "\r\nX: " + std::string(HeaderBytes, 'h') +
+           "\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" +
+           std::string(BodyBytes, 'b');
+  };
+  const auto Answers = [](const scripted_caller &Caller) {
+    std::vector<std::string> Found;
+    const std::string &Text = Caller.received();
+    for (auto At = Text.find("HTTP/1.1 "); At != std::string::npos;
+         At = Text.find("HTTP/1.1 ", At + 1))
+      Found.push_back(Text.substr(At + 9, 3));
+    return Found;
+  };
+  const auto Expect = [&](const scripted_caller &Caller,
+                          const std::vector<std::string> &Statuses) {
+    BOOST_TEST(runUntil(
+        Case.Loop, [&] { return Answers(Caller).size() == Statuses.size(); }));
+    BOOST_TEST(Answers(Caller) == Statuses, boost::test_tools::per_element());
+  };
+  scripted_caller Body(Case.Loop, Case.Address);
+  scripted_caller Header(Case.Loop, Case.Address);
+  scripted_caller Lowered(Case.Loop, Case.Address);
+  scripted_caller Begun(Case.Loop, Case.Address);
+  for (scripted_caller *Caller : {&Body, &Header, &Lowered, &Begun}) {
+    Caller->send(Post("a", 1, 1));
+    Expect(*Caller, {"200"});
+  }
+  Case.Server.setLimits(Large);
+  Body.send(Post("b", 1, 400));
+  Expect(Body, {"200", "200"});
+  Header.send(Post("b", 6000, 1));
+  Expect(Header, {"200", "200"});
+  const std::string Whole = Post("b", 1, 400);
+  Begun.send(Whole.substr(0, Whole.size() - 100));
+  Case.Loop.run_for(std::chrono::milliseconds(50));
+  Case.Server.setLimits(Small);
+  Begun.send(Whole.substr(Whole.size() - 100));
+  Expect(Begun, {"200", "200"});
+  Lowered.send(Post("b", 1, 400));
+  Expect(Lowered, {"200", "413"});
+  Body.send(Post("c", 6000, 1));
+  Expect(Body, {"200", "200", "431"});
+}
+
 // Guards against arbitrary bytes from one caller that break the server for the
 // next one.
 BOOST_AUTO_TEST_CASE(random_bytes_from_callers_do_not_affect_others) {
