Take a target's entries in the order of the store

Cause: an entry without `version` named a target, and the registry ordered entries by the start and the count that they state, so the target's own later entries, its draining too, were ignored.

An incarnation that has said it drains stays draining, since its earlier write may be stored later.

Why it works: the store's revision is the one order that no other writer can state.

--- a/src/route/targetregistry.cpp
+++ b/src/route/targetregistry.cpp
@@ -12,11 +12,6 @@
 /// Ids remembered as leaving; far more than leave within the life of an entry.
 constexpr std::size_t MaxLeaving = 8192;
 
-auto isOlder(const target_entry &Entry, const target_entry &Existing) -> bool {
-  return std::tie(Entry.StartedAtMs, Entry.Sequence) <
-         std::tie(Existing.StartedAtMs, Existing.Sequence);
-}
-
 auto isRestarted(const target_entry &Entry, const target_entry &Existing)
     -> bool {
   return std::tie(Entry.StartedAtMs, Entry.Ip, Entry.Port, Entry.Service) !=
@@ -54,13 +49,12 @@
 
 auto target_registry::put(const target_entry &NewEntry) -> changes {
   target_entry Entry = NewEntry;
-  Entry.Draining = Entry.Draining || isLeaving(Entry);
   const auto Existing = Entries.find(Entry.Id);
   const bool IsNew = Existing == Entries.end();
-  if (!IsNew && isOlder(Entry, Existing->second.Entry)) {
-    Existing->second.DropAt.reset();
-    return {};
-  }
+  const bool HasDrained =
+      !IsNew && Existing->second.Entry.Draining &&
+      Existing->second.Entry.StartedAtMs == Entry.StartedAtMs;
+  Entry.Draining = Entry.Draining || HasDrained || isLeaving(Entry);
   const bool Restarted = IsNew || isRestarted(Entry, Existing->second.Entry);
   const bool DrainingChanged =
       IsNew || Entry.Draining != Existing->second.Entry.Draining;
--- a/src/route/targetregistry.h
+++ b/src/route/targetregistry.h
@@ -25,8 +25,8 @@
   };
   using changes = std::vector<change>;
 
-  /// Adds or updates one entry. An entry that is older than the existing one
-  /// changes nothing but cancels a pending removal.
+  /// Adds or updates one entry; a later call supersedes an earlier one. An
+  /// incarnation that has drained stays so, and a pending removal is cancelled.
   auto put(const target_entry &Entry) -> changes;
 
   /// Records that the incarnation of \p Id that started at \p StartedAtMs said
