Count crashes one after the other, and of each incarnation

Cause: crashes within 0.2 s were one crash, though each attempt had been sent after the one before had crashed its target; and the next time the same target counted as the same crash, although it had started again.

Change: in a group, a run sent after the end of a crashed run counts on its own; a crash is that of an incarnation, also in reports to peers (started_ms). Two crashes hold, as before.

Why it works: a retry can't meet a target that has gone down at the same moment as the first, so its crash is evidence of its own.

--- a/src/admission/poisontracker.cpp
+++ b/src/admission/poisontracker.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t MaxRecords = 4096;
 constexpr std::size_t MaxCrashesPerRecord = 8;
-constexpr std::ptrdiff_t MinTargetsToHold = 2;
+constexpr std::ptrdiff_t MinCrashesToHold = 2;
 
 } // namespace
 
@@ -23,12 +23,15 @@
   find(Report.Fingerprint, Now);
   record &Record = touch(Report.Fingerprint);
   const auto Existing = std::find_if(
-      Record.Crashes.begin(), Record.Crashes.end(),
-      [&](const crash &Crash) { return Crash.Target == Report.Target; });
+      Record.Crashes.begin(), Record.Crashes.end(), [&](const crash &Crash) {
+        return Crash.Target == Report.Target &&
+               Crash.StartedAtMs == Report.StartedAtMs;
+      });
   if (Existing != Record.Crashes.end())
     Existing->Isolated = Existing->Isolated || Report.Isolated;
   else if (Record.Crashes.size() < MaxCrashesPerRecord)
     Record.Crashes.push_back({.Target = Report.Target,
+                              .StartedAtMs = Report.StartedAtMs,
                               .Isolated = Report.Isolated,
                               .ObservedAt = ObservedAt});
   const auto Counts = [](const crash &Crash) { return !Crash.Cleared; };
@@ -38,7 +41,7 @@
   const auto &Crashes = Record.Crashes;
   if (!Record.QuarantinedAt &&
       std::count_if(Crashes.begin(), Crashes.end(), Counts) >=
-          MinTargetsToHold &&
+          MinCrashesToHold &&
       std::any_of(Crashes.begin(), Crashes.end(), CountsAsIsolated))
     Record.QuarantinedAt = ObservedAt;
   evictOldest();
@@ -80,8 +83,8 @@
         continue;
       const auto Age =
           std::chrono::duration_cast<milliseconds>(Now - Crash.ObservedAt);
-      Reports.push_back(
-          {Record->Fingerprint, Crash.Target, Crash.Isolated, Age});
+      Reports.push_back({Record->Fingerprint, Crash.Target, Crash.Isolated, Age,
+                         Crash.StartedAtMs});
     }
     Record = Next;
   }
--- a/src/admission/poisontracker.h
+++ b/src/admission/poisontracker.h
@@ -20,10 +20,10 @@
 
 /// Tracks which requests are suspected of crashing targets.
 ///
-/// A request is quarantined after crashes of two distinct targets, on one of
-/// which it ran isolated. A request that merely ran beside the poison request
-/// is cleared when an isolated run succeeds. Performs no I/O and reads no
-/// clock. Not thread-safe.
+/// A request is quarantined after two crashes, of distinct targets or of two
+/// incarnations of one, in one of which it ran isolated. A request that merely
+/// ran beside the poison request is cleared when an isolated run succeeds.
+/// Performs no I/O and reads no clock. Not thread-safe.
 class poison_tracker {
 public:
   /// Crashes count for \p Hold after they were observed.
@@ -33,7 +33,7 @@
   auto setQuarantineTime(milliseconds NewHold) -> void { Hold = NewHold; }
 
   /// Records a crash observed here or reported by a peer. Repeated reports of a
-  /// request and target count once.
+  /// request and an incarnation of a target count once.
   auto recordCrash(const crash_report &Report, time_point Now) -> void;
 
   /// Records a complete run of the request, which clears it unless it is
@@ -51,13 +51,14 @@
 private:
   struct crash {
     target_id Target;
+    std::int64_t StartedAtMs = 0; ///< of the target's incarnation
     bool Isolated = false;
     bool Cleared = false; ///< the request succeeded after it
     time_point ObservedAt;
   };
   struct record {
     fingerprint Fingerprint = 0;
-    std::vector<crash> Crashes; ///< of distinct targets
+    std::vector<crash> Crashes; ///< of distinct incarnations
     std::optional<time_point> QuarantinedAt;
   };
   using records = std::list<record>; ///< most recently changed first
--- a/src/admission/tests/poisontracker_tests.cpp
+++ b/src/admission/tests/poisontracker_tests.cpp
@@ -58,3 +58,16 @@
   BOOST_TEST((Tracker.verdict(1, Start) == poison_verdict::Held));
   BOOST_TEST(Tracker.reports(100000, Start).size() <= 4097U);
 }
+
+// The service has one target, or a request always meets the same one.
+BOOST_AUTO_TEST_CASE(a_target_that_crashes_again_after_a_restart_counts_again) {
+  poison_tracker Tracker(30s);
+  Tracker.recordCrash({1, "t1", true, 0ms, 100}, Start);
+  Tracker.recordCrash({1, "t1", true, 0ms, 100}, Start + 1s);
+  BOOST_TEST((Tracker.verdict(1, Start + 1s) == poison_verdict::Suspect));
+  Tracker.recordCrash({1, "t1", true, 0ms, 200}, Start + 6s);
+  BOOST_TEST((Tracker.verdict(1, Start + 6s) == poison_verdict::Held));
+  const auto Reports = Tracker.reports(10, Start + 6s);
+  BOOST_REQUIRE(Reports.size() == 2U);
+  BOOST_TEST(Reports[1].StartedAtMs == 200);
+}
--- a/src/admission/types/crashreport.h
+++ b/src/admission/types/crashreport.h
@@ -3,6 +3,8 @@
 #include "global/types/time.h"
 #include "world/types/ids.h"
 
+#include <cstdint>
+
 namespace tarragon::admission {
 
 /// The crash of a target during a run of a request.
@@ -12,6 +14,9 @@
   bool Isolated = true; ///< ran as a suspect, or alone at the target
   /// Time since the first observation, set by the peer that sends the report.
   milliseconds Age{0};
+  /// Start of the target's incarnation, in milliseconds since the Unix epoch; 0
+  /// if unknown. A target that crashes again after a restart counts again.
+  std::int64_t StartedAtMs = 0;
 
   auto operator==(const crash_report &) const -> bool = default;
 };
--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -45,12 +45,14 @@
   Value["target"] = Report.Target;
   Value["apart"] = Report.Isolated;
   Value["age_ms"] = Json::Int64{Report.Age.count()};
+  Value["started_ms"] = Json::Int64{Report.StartedAtMs};
   return Value;
 }
 
 auto readCrash(const Json::Value &Value) -> admission::crash_report {
   return {Value["fingerprint"].asUInt64(), Value["target"].asString(),
-          Value["apart"].asBool(), milliseconds(Value["age_ms"].asInt64())};
+          Value["apart"].asBool(), milliseconds(Value["age_ms"].asInt64()),
+          Value["started_ms"].asInt64()};
 }
 
 } // namespace
--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -131,7 +131,7 @@
 BOOST_AUTO_TEST_CASE(a_crash_is_sent_to_serving_instances) {
   fleet_case Case(4);
   BOOST_REQUIRE(Case.runUntil([&] { return Case.allHavePeers(3); }));
-  const tarragon::admission::crash_report Report{77, "t1", true, 0ms};
+  const tarragon::admission::crash_report Report{77, "t1", true, 0ms, 17};
   Case.Members[2]->Link.sendCrashReport(Report);
   BOOST_TEST(Case.runUntil([&] {
     return std::all_of(
--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -123,6 +123,7 @@
   exchange &Exchange = Exchanges[Action.Key];
   Exchange.Target = Action.Target.Id;
   Exchange.StartedAtMs = Action.Target.StartedAtMs;
+  Exchange.SentAt = Now;
   Exchange.Connection = Gateway.pool(Action.Target).acquire(Fresh, Now);
   auto Self = shared_from_this();
   const placement::attempt_key Key = Action.Key;
@@ -203,12 +204,13 @@
   Exchange.Answer = std::move(Answer);
   Gateway.countAttempt(AttemptEnd);
   if (AttemptEnd == attempt_end::Broken || AttemptEnd == attempt_end::Rejected)
-    onBrokenRun(Exchange.Target);
+    onBrokenRun(Exchange);
   perform(Plan.onEnded(Key, AttemptEnd, std::chrono::steady_clock::now()));
 }
 
-auto active_request::onBrokenRun(const std::string &Target) -> void {
-  Gateway.checkCrash(Target, Fingerprint);
+auto active_request::onBrokenRun(const exchange &Exchange) -> void {
+  Gateway.checkCrash({Fingerprint, Exchange.Target, Exchange.StartedAtMs,
+                      Exchange.SentAt, std::chrono::steady_clock::now()});
 }
 
 auto active_request::onCallerDisconnected() -> void {
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -45,7 +45,8 @@
     placement::attempt_end End = placement::attempt_end::Abandoned;
     bool IsAbandoned = false;     ///< its answer is ignored
     std::int64_t StartedAtMs = 0; ///< start of the target's incarnation
-    bool IsUnsent = false;        ///< abandoned before a byte was sent
+    time_point SentAt;
+    bool IsUnsent = false; ///< abandoned before a byte was sent
   };
 
   auto perform(const placement::plan_actions &Actions) -> void;
@@ -64,7 +65,7 @@
   auto forwardedAnswer(const exchange_answer &Answer) const -> caller_answer;
   auto requestBytes(const route::target_entry &Target, time_point Now) const
       -> std::string;
-  auto onBrokenRun(const std::string &Target) -> void;
+  auto onBrokenRun(const exchange &Exchange) -> void;
   auto missingParts() const -> std::string;
   auto attemptsText() const -> std::string;
   auto report(const placement::finish_plan &Finish, const caller_answer &Answer)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -115,9 +115,9 @@
   /// Counts an attempt that ended with \p End.
   auto countAttempt(placement::attempt_end End) -> void;
 
-  /// Opens a probe connection to \p Target, whose run of \p Request broke off.
-  /// The target counts as crashed if the connection can't be established.
-  auto checkCrash(const std::string &Target, fingerprint Request) -> void;
+  /// Opens a probe connection to the target of \p Run, which broke off. The
+  /// target counts as crashed if the connection can't be established.
+  auto checkCrash(admission::crashed_run Run) -> void;
 
   /// Returns \p Time with jitter, for the Retry-After of refused callers.
   auto jittered(milliseconds Time) -> milliseconds;
--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -52,24 +52,24 @@
   Targets.close(Target, Now + *Pause);
 }
 
-auto gateway::checkCrash(const std::string &Target, const fingerprint Request)
-    -> void {
-  const route::target_entry *Entry = Targets.registry().find(Target);
+auto gateway::checkCrash(admission::crashed_run Run) -> void {
+  const route::target_entry *Entry = Targets.registry().find(Run.Target);
   if (!Entry)
     return;
   const auto Probe = pool(*Entry).openNew();
   if (!Probe)
     return;
-  Probe->setClosedHandler([this, Probe = std::weak_ptr(Probe), Target,
-                           Request] {
-    const auto Ended = Probe.lock();
-    if (!Ended || Ended->isConnected())
-      return;
-    Crashes.add(Target, Request, std::chrono::steady_clock::now());
-    log::write(log::level::Info, log::part::Admission,
-               "target crashed while running a request",
-               {{"target", Target}, {"fingerprint", std::to_string(Request)}});
-  });
+  Probe->setClosedHandler(
+      [this, Probe = std::weak_ptr(Probe), Run = std::move(Run)] {
+        const auto Ended = Probe.lock();
+        if (!Ended || Ended->isConnected())
+          return;
+        Crashes.add(Run, std::chrono::steady_clock::now());
+        log::write(log::level::Info, log::part::Admission,
+                   "target crashed while running a request",
+                   {{"target", Run.Target},
+                    {"fingerprint", std::to_string(Run.Request)}});
+      });
 }
 
 auto gateway::publishCrashes(const time_point Now) -> void {
--- a/src/gateway/tests/crashes_tests.cpp
+++ b/src/gateway/tests/crashes_tests.cpp
@@ -82,4 +82,33 @@
     BOOST_TEST(Target->requests().empty());
 }
 
+// Each target that runs the request crashes, and the retry meets the next one
+// at once. Guards against counting such crashes as one.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_in_turn_is_held) {
+  gateway_case Case;
+  std::vector<scripted_server *> Servers;
+  const auto Crash = [&](const std::string &Request) {
+    for (scripted_server *Server : Servers)
+      if (!Server->requests().empty() && Server->requests().back() == Request)
+        Server->stopListening();
+    return scripted_server::reaction{"", false, true};
+  };
+  for (const std::string Id : {"t0", "t1", "t2"})
+    Servers.push_back(&Case.target(Id, "s0", Crash));
+  Case.routes(); // two attempts
+  Case.get("/one/1");
+  BOOST_TEST(runUntil(Case.Loop, [&] {
+    return Case.Gateway.poison().verdict(hash64("GET h.example/one/1\n"),
+                                         std::chrono::steady_clock::now()) ==
+           admission::poison_verdict::Held;
+  }));
+  const auto Answer = Case.get("/one/1");
+  BOOST_TEST(status(Answer) == "503");
+  BOOST_TEST(headerValue(Answer, "Retry-After") != "none");
+  std::size_t Runs = 0;
+  for (const scripted_server *Server : Servers)
+    Runs += Server->requests().size();
+  BOOST_TEST(Runs == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
