Begin each request of the late-order test at one distance from the stop

Cause: the test let three requests share 700 ms of real time, of which the first estimate of a latency takes 200; a machine that is slow enough would have refused the second one for its latency. It was not seen to fail. Change: each request begins 900 ms before the end of the stop; the checks are the same. One comment at the head of gatewayevents.cpp is reworded. Conclusion: the verdict no longer depends on the time that earlier requests took.

--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -1,4 +1,4 @@
-// What happens outside the way of a request: notices and crashes of targets,
+// Events outside the processing of a request: notices and crashes of targets,
 // suspensions of the machine and the end of the instance.
 #include "gateway/gateway.h"
 
--- a/src/gateway/tests/callers_tests.cpp
+++ b/src/gateway/tests/callers_tests.cpp
@@ -93,11 +93,16 @@
       return scripted_server::reaction{successResponse(Request, "x")};
     });
     Case.routes(Repeatability); // its timeout is 1 s
-    const auto Now = std::chrono::steady_clock::now();
-    Case.Gateway.prepareStop({Now + 60s, Now + 700ms});
+    // Each request begins at the same distance from the end of the stop.
+    const auto StopIn = [&Case](const milliseconds CallersGone) {
+      const auto Now = std::chrono::steady_clock::now();
+      Case.Gateway.prepareStop({Now + CallersGone, Now + 900ms});
+    };
+    StopIn(60s);
     BOOST_TEST(status(Case.get("/one/1")) == "200");
-    Case.Gateway.prepareStop({Now, Now + 700ms});
+    StopIn(0s);
     BOOST_TEST(status(Case.get("/one/2")) == (IsOrder ? "503" : "200"));
+    StopIn(0s);
     BOOST_TEST(status(Case.get("/one/3", "Left: 100\r\n")) == "200");
     BOOST_TEST(Target.requests().size() == (IsOrder ? 2U : 3U));
   }
