--- a/src/route/types/route.h
+++ b/src/route/types/route.h
@@ -32,6 +32,7 @@
   std::vector<std::string> Shards; ///< the services of the shards, or empty
   std::size_t TopRecords = 0;      ///< maximum records in a merged answer
   double MinShardShare = 1;        ///< minimum share of shards in a success
+  bool Public = false;             ///< served without a key of a client account
 
   /// Returns whether a request is sent to all shards.
   auto scattered() const -> bool { return !Shards.empty(); }
