Authenticate callers by the keys of client accounts

Cause: the configuration of some deployments has client accounts; the tier forwarded their keys to targets and served every caller. Refused keys are counted, and logged at most three times a second. Without accounts in the configuration nothing changes. The limiter of log lines moves out of global/internal, as the gateway uses it.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 # for the modules that share tables between threads.
 sanitize: packages
 	tools/sanitize asan global world transport peer entry query once store report \
-	  route placement gateway fleet admission platformadapter
+	  route account placement gateway fleet admission platformadapter
 	tools/sanitize tsan transport peer report store
 
 # The build as on the users' platform, without tests.
--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/callersession.h"
 #include "gateway/gateway.h"
+#include "gateway/internal/accountheaders.h"
 #include "gateway/internal/answerwriter.h"
 #include "global/log.h"
 #include "route/recordmerge.h"
@@ -59,12 +60,16 @@
   const caller_request &Request = Origin.Request;
   Id = fieldOrEmpty(Request.Headers, Names.RequestId);
   Fingerprint = fingerprintOf(Request);
+  const bool HasAccounts = Origin.Table->set().Accounts.has_value();
   CommonHead = Request.Method + ' ' + Request.RequestTarget + " HTTP/1.1\r\n";
   for (const header_field &Field : internal::forwardedHeaders(Request.Headers))
     if (!equal(Field.Name, Names.Deadline) &&
         !equal(Field.Name, Names.ExpectedTarget) &&
-        !equal(Field.Name, "expect"))
+        !equal(Field.Name, "expect") &&
+        !(HasAccounts && internal::isAccountHeader(Field.Name, Names)))
       CommonHead += Field.Name + ": " + Field.Value + "\r\n";
+  if (Origin.Account)
+    CommonHead += Names.Account + ": " + Origin.Account->Name + "\r\n";
   if (Request.HasBody)
     CommonHead +=
         "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -22,6 +22,7 @@
     caller_request Request;
     std::shared_ptr<const route::route_table> Table;
     const route::route *Route;
+    const route::account *Account = nullptr; ///< of Table's version, or null
   };
 
   active_request(gateway &Gateway, origin Origin, placement::request_plan Plan,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "account/accounttable.h"
 #include "gateway/activerequest.h"
 #include "gateway/callersession.h"
 #include "gateway/internal/answerwriter.h"
@@ -36,6 +37,8 @@
 /// Answers of targets that are being received or are kept for a request.
 constexpr std::size_t MaxAnswerBytes = 33554432;
 constexpr double ShareTolerance = 1e-9;
+/// Enough to see a cause; callers with a withdrawn key may send many requests.
+constexpr std::size_t RefusedKeyLinesPerSecond = 3;
 
 auto parseMilliseconds(const caller_request &Request, const std::string &Name)
     -> std::optional<milliseconds> {
@@ -65,7 +68,7 @@
       Memory(std::make_shared<receive_budget>(MaxAnswerBytes)),
       Targets(Settings.FailureDomain),
       Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
-      Random(std::random_device()()),
+      Random(std::random_device()()), RefusedKeyLines(RefusedKeyLinesPerSecond),
       ClockOffset(bootTime() - std::chrono::steady_clock::now()),
       SweepTimer(NewLoop),
       WarmNotBefore(std::chrono::steady_clock::now() + PeerDiscoveryTime) {
@@ -94,6 +97,7 @@
         [&](const route::route &Route) { return Route.Name == At->first; });
     At = Kept || !Active.empty() ? std::next(At) : Latencies.erase(At);
   }
+  setAccounts(Routes);
   Table = std::make_shared<route::route_table>(std::move(Routes));
   log::write(log::level::Info, log::part::Config, "routes in force",
              {{"version", std::to_string(version())}});
@@ -297,6 +301,9 @@
   const route::route *Route = Table->find(Request.Host, Request.RequestTarget);
   if (!Route)
     return refuse(Session, Request, {404, "no route", {}});
+  const route::account *Account = nullptr;
+  if (!authenticate(Session, Request, *Route, Account))
+    return;
   const auto Now = std::chrono::steady_clock::now();
   if (stopsBeforeAnswer(*Route, Request, Now))
     return refuse(Session, Request,
@@ -307,7 +314,9 @@
                   {503, "held: it crashed targets", PoisonHold});
   const placement::plan_settings Plan = makePlanSettings(*Route, Request);
   auto Active = std::make_shared<active_request>(
-      *this, active_request::origin{Session, std::move(Request), Table, Route},
+      *this,
+      active_request::origin{Session, std::move(Request), Table, Route,
+                             Account},
       placement::request_plan({Targets, Budgets, latencies(*Route)}, Plan),
       Plan.Deadline);
   this->Active.insert(Active);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/types/callerrequest.h"
 #include "gateway/types/gatewaysettings.h"
 #include "gateway/types/servingstate.h"
+#include "global/linelimiter.h"
 #include "placement/latencymodel.h"
 #include "placement/retrybudgettable.h"
 #include "placement/targetset.h"
@@ -23,6 +24,12 @@
 #include <unordered_set>
 #include <vector>
 
+namespace tarragon::account {
+
+class account_table;
+
+} // namespace tarragon::account
+
 namespace tarragon::gateway {
 
 class active_request;
@@ -48,6 +55,9 @@
   /// Returns the routes in force; empty before the first setRoutes().
   auto routes() const -> const std::vector<route::route> &;
 
+  /// Returns the client accounts in force, or null if requests need no key.
+  auto accounts() const -> const std::vector<route::account> *;
+
   /// Returns the latency statistics of \p Route.
   auto latencies(const route::route &Route) -> placement::latency_model &;
 
@@ -158,6 +168,16 @@
 
   auto refuse(const session_pointer &Session, const caller_request &Request,
               const refusal &Refusal) -> void;
+  /// Builds the table of the accounts in force and logs its problems.
+  auto setAccounts(const std::shared_ptr<const route::route_set> &Routes)
+      -> void;
+  /// Finds the account of \p Request, which is null if none is known and none
+  /// is needed. Refuses the request and returns false if it has no valid key.
+  auto authenticate(const session_pointer &Session,
+                    const caller_request &Request, const route::route &Route,
+                    const route::account *&Account) -> bool;
+  auto refuseKey(const session_pointer &Session, const caller_request &Request,
+                 const route::route &Route, std::string_view Cause) -> void;
   auto requestTimeout(const caller_request &Request,
                       const route::route &Route) const -> milliseconds;
   auto makePlanSettings(const route::route &Route,
@@ -184,8 +204,10 @@
   admission::poison_tracker Poison;
   route::weighted_round_robin RoundRobin;
   std::shared_ptr<const route::route_table> Table;
+  std::unique_ptr<const account::account_table> Accounts; ///< of the same set
   std::map<std::string, placement::latency_model> Latencies; ///< by route
   std::mt19937_64 Random;
+  log::line_limiter RefusedKeyLines;
   crash_handler CrashHandler;
   leaving_handler LeavingHandler;
   std::unordered_map<std::string, std::unique_ptr<connection_pool>> Pools;
--- a/src/gateway/tests/gatewaycase.h
+++ b/src/gateway/tests/gatewaycase.h
@@ -18,8 +18,8 @@
 }
 
 inline auto headerNames() -> header_names {
-  return {"Id",      "Left",   "For",     "Stamp",
-          "Not-Run", "Stamps", "Missing", "Leaving"};
+  return {"Id",     "Left",    "For",     "Stamp",   "Not-Run",
+          "Stamps", "Missing", "Leaving", "App-Key", "App-Account"};
 }
 
 inline auto headerValue(const std::string &Message, const std::string &Name)
@@ -67,12 +67,13 @@
     return *Targets.back();
   }
 
-  auto routes(const route::repeatability Repeatability =
-                  route::repeatability::Idempotent) -> void {
-    auto Set = std::make_shared<route::route_set>();
-    Set->Version = 7;
-    Set->Limits.HeaderBytes = 2000;
-    Set->Limits.BodyBytes = 100;
+  static auto routeSet(const route::repeatability Repeatability =
+                           route::repeatability::Idempotent)
+      -> route::route_set {
+    route::route_set Set;
+    Set.Version = 7;
+    Set.Limits.HeaderBytes = 2000;
+    Set.Limits.BodyBytes = 100;
     route::route Single;
     Single.Name = "one";
     Single.Host = "h.example";
@@ -90,9 +91,18 @@
     All.TopRecords = 3;
     All.MinShardShare = 0.5;
     All.Repeatability = route::repeatability::Idempotent;
-    Set->Routes = {Single, All};
-    Server.setLimits(Set->Limits);
-    Gateway.setRoutes(Set);
+    Set.Routes = {Single, All};
+    return Set;
+  }
+
+  auto routes(const route::repeatability Repeatability =
+                  route::repeatability::Idempotent) -> void {
+    setRoutes(routeSet(Repeatability));
+  }
+
+  auto setRoutes(route::route_set Set) -> void {
+    Server.setLimits(Set.Limits);
+    Gateway.setRoutes(std::make_shared<const route::route_set>(std::move(Set)));
   }
 
   auto sendAndReceive(const std::string &Request) -> std::string {
--- a/src/gateway/types/headernames.h
+++ b/src/gateway/types/headernames.h
@@ -15,6 +15,8 @@
   std::string PartStamps;     ///< stamps of the parts of a merged answer
   std::string MissingParts;   ///< number of parts missing from a merged answer
   std::string Leaving;        ///< "1" from a target that is about to stop
+  std::string Key;            ///< a caller's key of its account
+  std::string Account;        ///< name of the account, for targets
 };
 
 } // namespace tarragon::gateway
--- a/src/global/internal/linelimiter.cpp
+++ b/src/global/linelimiter.cpp
@@ -1,9 +1,9 @@
-#include "global/internal/linelimiter.h"
+#include "global/linelimiter.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace tarragon::log::internal {
+namespace tarragon::log {
 
 auto line_limiter::tryAcquire(const time_point Now) -> bool {
   const std::chrono::duration<double> Elapsed = Now - RefilledAt;
@@ -23,4 +23,4 @@
   return std::exchange(Rejected, 0);
 }
 
-} // namespace tarragon::log::internal
+} // namespace tarragon::log
--- a/src/global/internal/linelimiter.h
+++ b/src/global/linelimiter.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace tarragon::log::internal {
+namespace tarragon::log {
 
 /// A token bucket that limits the lines written per second. Starts full; not
 /// thread-safe.
@@ -29,4 +29,4 @@
   std::uint64_t Rejected = 0;
 };
 
-} // namespace tarragon::log::internal
+} // namespace tarragon::log
--- a/src/global/log.cpp
+++ b/src/global/log.cpp
@@ -1,7 +1,7 @@
 #include "global/log.h"
 
-#include "global/internal/linelimiter.h"
 #include "global/internal/outputsink.h"
+#include "global/linelimiter.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -27,7 +27,7 @@
 std::atomic<level> MinLevel{level::Debug};
 
 std::mutex LimiterLock; // rank 95: a leaf, no lock is acquired under it
-internal::line_limiter Limiter{std::numeric_limits<std::size_t>::max()};
+line_limiter Limiter{std::numeric_limits<std::size_t>::max()};
 std::atomic<std::uint64_t> RateLimitedLines{0};
 
 auto sink() -> internal::output_sink & {
@@ -176,7 +176,7 @@
 
 auto setMaxLinesPerSecond(const std::size_t LinesPerSecond) -> void {
   const std::lock_guard Lock(LimiterLock);
-  Limiter = internal::line_limiter(LinesPerSecond);
+  Limiter = line_limiter(LinesPerSecond);
 }
 
 auto dropped() -> std::uint64_t {
--- a/src/global/tests/global_tests.cpp
+++ b/src/global/tests/global_tests.cpp
@@ -5,7 +5,7 @@
 
 #include "global/deflate.h"
 #include "global/hash.h"
-#include "global/internal/linelimiter.h"
+#include "global/linelimiter.h"
 #include "global/log.h"
 #include "global/resultcode.h"
 
@@ -121,7 +121,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(line_limiter_refills_over_time) {
-  tarragon::log::internal::line_limiter Limiter(10);
+  tarragon::log::line_limiter Limiter(10);
   const tarragon::time_point Start{std::chrono::hours(1)};
   for (int Line = 0; Line < 10; ++Line)
     BOOST_TEST(Limiter.tryAcquire(Start));
