Send nothing to targets of evacuated failure domains

Cause: An operator can't take a failure domain out of use. The instances share two documents, and generic code takes every other name that a peer mentions for the list of targets. The registry makes targets in such domains unusable, whenever their entries arrive. Kept and connecting connections, first attempts, hedges, retries, probes and warming stop; a connecting attempt ends as not sent. Load returns over the service's cold start, or 3 s. Documents of an unknown name are ignored; the mark of the new one is sent in a field that earlier builds don't read. Conclusion: Evacuations are whole; cold targets follow.

--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -9,11 +9,17 @@
 
 namespace {
 
+constexpr const char *DocumentField = "documents";
+/// Not read by instances of earlier builds.
+constexpr const char *LaterField = "later_documents";
+
 auto writeStatus(const instance_status &Status) -> Json::Value {
   Json::Value Value;
   for (const auto &[Name, Mark] : Status.Documents) {
-    Value["documents"][Name].append(Json::UInt64{Mark.AsOf});
-    Value["documents"][Name].append(Json::UInt64{Mark.Changed});
+    const bool IsLater = Status.LaterDocuments.contains(Name);
+    Json::Value &Row = Value[IsLater ? LaterField : DocumentField][Name];
+    Row.append(Json::UInt64{Mark.AsOf});
+    Row.append(Json::UInt64{Mark.Changed});
   }
   Value["silence_ms"] = Json::Int64{Status.SourceAnswerAge.count()};
   if (Status.NeedsHelp)
@@ -26,11 +32,14 @@
 
 auto readStatus(const Json::Value &Value) -> instance_status {
   instance_status Status;
-  const Json::Value &Documents = Value["documents"];
-  if (Documents.isObject())
+  for (const char *const Field : {DocumentField, LaterField}) {
+    const Json::Value &Documents = Value[Field];
+    if (!Documents.isObject())
+      continue;
     for (const std::string &Name : Documents.getMemberNames())
       Status.Documents[Name] = {Documents[Name][0].asUInt64(),
                                 Documents[Name][1].asUInt64()};
+  }
   Status.SourceAnswerAge = milliseconds(Value["silence_ms"].asInt64());
   Status.NeedsHelp = Value["help"].asBool();
   Status.Load = Value["load"].asDouble();
--- a/src/fleet/fleetdocuments.cpp
+++ b/src/fleet/fleetdocuments.cpp
@@ -58,7 +58,7 @@
 auto fleet_link::compareDocuments(const instance &From,
                                   const instance_status &Status) -> void {
   for (const auto &[Name, Mark] : Status.Documents) {
-    if (!Mark.isNewerThan(mark(Name)))
+    if (!Settings.Documents.contains(Name) || !Mark.isNewerThan(mark(Name)))
       continue;
     StaleSince.try_emplace(Name, now());
     if (!Fetches.count(Name))
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -195,7 +195,13 @@
 }
 
 auto fleet_link::ownStatus() const -> instance_status {
-  return {Marks, sourceAnswerAge(), false, Load, Ready, LiveMembers};
+  return {Marks,
+          Settings.LaterDocuments,
+          sourceAnswerAge(),
+          false,
+          Load,
+          Ready,
+          LiveMembers};
 }
 
 auto fleet_link::setMark(const std::string &Name, const document_mark Mark)
--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -64,6 +64,8 @@
     Settings.Self.Incarnation = 1;
     Settings.DocumentPort = std::uint16_t(Port + 1);
     Settings.SeedIps = Seeds;
+    Settings.Documents = {"routes", "later"};
+    Settings.LaterDocuments = {"later"};
     return Settings;
   }
 
@@ -180,6 +182,27 @@
 }
 
 // A whole deployment starts and receives its routes a moment later.
+// A later build shares more documents. An instance that can't use one must
+// neither fetch it nor count it as missing, which would make it call the
+// source.
+BOOST_AUTO_TEST_CASE(a_document_of_an_unknown_name_is_ignored) {
+  fleet_case Case(3);
+  BOOST_REQUIRE(Case.runUntil([&] { return Case.allHavePeers(2); }));
+  Case.Members[0]->Document = "of another build";
+  Case.Members[0]->Link.setMark("unknown", {12, 10});
+  Case.Loop.run_for(1500ms);
+  for (const std::size_t Number : {1U, 2U}) {
+    BOOST_TEST(Case.Members[Number]->Document.empty());
+    BOOST_TEST(Case.Members[Number]->Link.mark("unknown").AsOf == 0U);
+  }
+  Case.Members[0]->Document = "known";
+  Case.Members[0]->Link.setMark("later", {13, 11});
+  BOOST_TEST(Case.runUntil([&] {
+    return Case.Members[1]->Document == "known" &&
+           Case.Members[2]->Document == "known";
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(a_change_to_ready_is_sent_at_once) {
   fleet_case Case(30, false);
   BOOST_REQUIRE(
--- a/src/fleet/tests/watcherselection_tests.cpp
+++ b/src/fleet/tests/watcherselection_tests.cpp
@@ -1,8 +1,10 @@
 #include "fleet/fleetcodec.h"
 #include "fleet/tests/sourceoutage.h"
 #include "fleet/watcherselection.h"
+#include "global/json.h"
 
 #include <boost/test/unit_test.hpp>
+#include <json/json.h>
 
 #include <random>
 #include <set>
@@ -213,6 +215,24 @@
   BOOST_TEST(Read->Status.Ready);
 }
 
+// An instance of an earlier build takes each document in the first field that
+// isn't the routes for the list of targets, and would lose all targets.
+BOOST_AUTO_TEST_CASE(a_later_document_is_not_shown_to_earlier_builds) {
+  fleet_datagram Datagram;
+  Datagram.Gossip.From.Id = "i1";
+  Datagram.Status.Documents["routes"] = {12, 7};
+  Datagram.Status.Documents["later"] = {13, 8};
+  Datagram.Status.LaterDocuments = {"later"};
+  const std::string Text = writeDatagram(Datagram);
+  const auto Status = parseJson(Text).value()["digest"];
+  BOOST_TEST(Status["documents"].isMember("routes"));
+  BOOST_TEST(!Status["documents"].isMember("later"));
+  const auto Read = readDatagram(Text);
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Status.Documents.at("later").AsOf == 13U);
+  BOOST_TEST(Read->Status.Documents.at("later").Changed == 8U);
+}
+
 BOOST_AUTO_TEST_CASE(corrupt_bytes_do_not_crash_the_reader) {
   std::mt19937_64 Random(11);
   fleet_datagram Datagram;
--- a/src/fleet/types/instancestatus.h
+++ b/src/fleet/types/instancestatus.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace tarragon::fleet {
@@ -12,6 +13,8 @@
 /// The state that an instance piggybacks on each datagram besides membership.
 struct instance_status {
   std::map<std::string, document_mark> Documents; ///< by name
+  /// Names of documents whose marks are sent where earlier builds don't look.
+  std::set<std::string> LaterDocuments;
   /// Time since the source last answered any instance, as far as the sender
   /// knows.
   milliseconds SourceAnswerAge{0};
--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -124,7 +124,8 @@
   Exchange.Target = Action.Target.Id;
   Exchange.StartedAtMs = Action.Target.StartedAtMs;
   Exchange.SentAt = Now;
-  Exchange.Connection = Gateway.pool(Action.Target).acquire(Fresh, Now);
+  if (!Gateway.targets().registry().isEvacuated(Action.Target))
+    Exchange.Connection = Gateway.pool(Action.Target).acquire(Fresh, Now);
   auto Self = shared_from_this();
   const placement::attempt_key Key = Action.Key;
   if (!Exchange.Connection) {
--- a/src/gateway/connectionpool.cpp
+++ b/src/gateway/connectionpool.cpp
@@ -127,6 +127,12 @@
   removeUnusable(Now);
 }
 
+auto connection_pool::abandonConnecting() -> void {
+  const auto Copy = Connections; // the handlers may use the pool
+  for (const pooled_connection &Each : Copy)
+    Each.Connection->abandonConnecting();
+}
+
 auto connection_pool::closeFree() -> void {
   for (const pooled_connection &Each : Connections)
     if (Each.Connection->isFree())
--- a/src/gateway/connectionpool.h
+++ b/src/gateway/connectionpool.h
@@ -46,6 +46,9 @@
   /// Closes the connections without an exchange, as they may be dead.
   auto closeFree() -> void;
 
+  /// Gives up the connections that aren't established yet.
+  auto abandonConnecting() -> void;
+
   auto size() const -> std::size_t { return Connections.size(); }
 
 private:
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -88,6 +88,7 @@
   if (Routes->Version <= version())
     return;
   Targets.setConnectionLimits(Routes->MaxConnections, Targets.instances());
+  Targets.setColdStarts(Routes->ColdStarts);
   for (auto At = Latencies.begin(); At != Latencies.end();) {
     const bool Kept = std::any_of(
         Routes->Routes.begin(), Routes->Routes.end(),
@@ -145,10 +146,7 @@
 auto gateway::applyTargets(const route::target_registry::changes &Changes)
     -> void {
   Targets.apply(Changes, std::chrono::steady_clock::now());
-  for (const route::target_registry::change &Change : Changes) {
-    if (!Change.Usable || Change.Restarted)
-      Pools.erase(Change.Id);
-  }
+  dropPools(Changes);
   reportTargets(Changes);
   warmPools();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -62,6 +63,10 @@
   /// Applies changes of the target registry.
   auto applyTargets(const route::target_registry::changes &Changes) -> void;
 
+  /// Sends nothing more to targets in the failure domains \p Domains, and again
+  /// to those in domains that were evacuated before.
+  auto setEvacuated(std::set<std::string> Domains) -> void;
+
   /// Sets the number of instances that share the retry budgets and the targets'
   /// connections. An instance that is not serving gets a smaller share and
   /// opens no connections in advance.
@@ -172,6 +177,9 @@
   auto publishCrashes(time_point Now) -> void;
   auto warmPools() -> void;
   auto reportTargets(const route::target_registry::changes &Changes) -> void;
+  /// Drops the connections of targets that changed; those that aren't
+  /// established yet must not reach an evacuated target.
+  auto dropPools(const route::target_registry::changes &Changes) -> void;
 
   boost::asio::io_context &Loop;
   gateway_settings Settings;
--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -54,7 +54,7 @@
 
 auto gateway::checkCrash(admission::crashed_run Run) -> void {
   const route::target_entry *Entry = Targets.registry().find(Run.Target);
-  if (!Entry)
+  if (!Entry || Targets.registry().isEvacuated(*Entry))
     return;
   const auto Probe = pool(*Entry).openNew();
   if (!Probe)
--- a/src/gateway/httpconnection.cpp
+++ b/src/gateway/httpconnection.cpp
@@ -242,6 +242,13 @@
     Done(Sent ? End : exchange_end::NotSent, {});
 }
 
+auto http_connection::abandonConnecting() -> void {
+  if (State == state::Closed || Connected)
+    return;
+  ClosedHandler = nullptr; // it would report that the server can't be reached
+  failWith(exchange_end::NotSent);
+}
+
 auto http_connection::close() -> void {
   if (State == state::Closed)
     return;
--- a/src/gateway/httpconnection.h
+++ b/src/gateway/httpconnection.h
@@ -53,6 +53,10 @@
   /// Closes the connection. The handlers are not called afterwards.
   auto close() -> void;
 
+  /// Gives up a connection that isn't established yet: reports an exchange as
+  /// not sent. An established one is left as it is.
+  auto abandonConnecting() -> void;
+
   /// Sets the handler that is called if the connection can't be established, or
   /// fails while it has no exchange.
   auto setClosedHandler(closed_handler Handler) -> void;
--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t MaxCrashes = 32;
+constexpr std::size_t MaxDomains = 64;
 constexpr double Tail = 0.99;
 constexpr double Decimals = 100;
 
@@ -46,7 +47,10 @@
   Row["service"] = Entry.Service;
   Row["failure_domain"] = Entry.FailureDomain;
   Row["standing"] =
-      Entry.Draining ? "leaving" : std::string(name(Health.Standing));
+      std::string(Entry.Draining ? "leaving"
+                  : Gateway.targets().registry().isEvacuated(Entry)
+                      ? "evacuated"
+                      : name(Health.Standing));
   Row["blocked_ms"] = Json::Int64{Health.BlockedFor.count()};
   Row["slowness"] = rounded(Health.Slowness);
   Row["refusals"] = rounded(Health.Refusals);
@@ -117,6 +121,10 @@
     Service = Entry->Service;
   }
   Value["crashes"] = viewCrashes(Gateway, Now);
+  Value["evacuated_domains"] = Json::Value(Json::arrayValue);
+  for (const std::string &Domain : Gateway.targets().registry().evacuated())
+    if (Value["evacuated_domains"].size() < MaxDomains)
+      Value["evacuated_domains"].append(Domain);
   return Value;
 }
 
--- a/src/placement/targethealth.cpp
+++ b/src/placement/targethealth.cpp
@@ -35,6 +35,23 @@
   return Now < SlowStartEnd ? std::max(Measured, ColdSlowness) : Measured;
 }
 
+auto target_health::returnGradually(const time_point Now, const time_point End)
+    -> void {
+  ReturnedAt = Now;
+  ReturnEnd = End;
+  ReopenLimit = 1;
+}
+
+auto target_health::returnShare(const time_point Now) const -> double {
+  if (Now >= ReturnEnd)
+    return 1;
+  const std::chrono::duration<double> Passed = Now - ReturnedAt;
+  const double Share = Passed / (ReturnEnd - ReturnedAt);
+  // An idle target wins nearly every choice in which it competes, so a linear
+  // share would bring back its whole load in a third of the time.
+  return Share * Share;
+}
+
 auto target_health::refusals(const time_point Now) const -> double {
   return decayed(Refusals, MeasuredAt, Now);
 }
--- a/src/placement/targethealth.h
+++ b/src/placement/targethealth.h
@@ -27,6 +27,14 @@
   /// Sets the end of the target's slow start.
   auto setSlowStartEnd(time_point End) -> void { SlowStartEnd = End; }
 
+  /// Starts a slow start until \p End of a target that got no requests for a
+  /// while: one attempt at a time is allowed, and one more with each answer.
+  auto returnGradually(time_point Now, time_point End) -> void;
+
+  /// Returns the share of the choices in which the target competes with its
+  /// siblings on equal terms: below 1 during a slow start after a return.
+  auto returnShare(time_point Now) const -> double;
+
   /// Records that an attempt was sent.
   auto onSent(time_point Now) -> void;
 
@@ -101,6 +109,8 @@
   /// Maximum of attempts in flight since the target was closed; 0: as usual.
   int ReopenLimit = 0;
   time_point SlowStartEnd;
+  time_point ReturnedAt; ///< start and end of a slow start after an evacuation
+  time_point ReturnEnd;
 };
 
 } // namespace tarragon::placement
--- a/src/placement/targetset.cpp
+++ b/src/placement/targetset.cpp
@@ -1,6 +1,7 @@
 #include "placement/targetset.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace tarragon::placement {
@@ -10,6 +11,10 @@
 /// Prefers targets in the own failure domain at similar cost.
 constexpr double OwnDomainCostFactor = 0.7;
 constexpr double SilentCostFactor = 20;
+/// Of a target that gets only a share of the choices after its return.
+constexpr double HeldBackCostFactor = 20;
+/// Multiples of it spread evenly over [0, 1) when only their fraction counts.
+constexpr double GoldenRatio = 0.6180339887498949;
 /// The usable share of a target's connections. The rest covers handovers
 /// between instances and attempts that are being closed.
 constexpr double UsableConnectionShare = 0.8;
@@ -18,6 +23,8 @@
 constexpr milliseconds MinRetryDelay{100};
 constexpr milliseconds MaxRetryDelay{1000};
 constexpr milliseconds MaxClosedRetryDelay{60000};
+/// The slow start after an evacuation of a service that states none.
+constexpr milliseconds DefaultReturnTime{3000};
 
 } // namespace
 
@@ -32,15 +39,25 @@
       HealthByTarget.erase(Change.Id);
       continue;
     }
-    if (!Change.Restarted)
+    if (!Change.Restarted && !Change.Returned)
       continue;
     target_health &Health = HealthByTarget[Change.Id];
     Health = {};
-    Health.setSlowStartEnd(Now + Entry->ColdFor);
+    if (Change.Restarted)
+      Health.setSlowStartEnd(Now + Entry->ColdFor);
+    if (Change.Returned)
+      Health.returnGradually(Now, Now + returnTime(Entry->Service));
     updateShares(*Entry);
   }
 }
 
+auto target_set::returnTime(const std::string &Service) const -> milliseconds {
+  const auto Found = ColdStarts.find(Service);
+  const bool IsStated =
+      Found != ColdStarts.end() && Found->second.Duration > milliseconds(0);
+  return IsStated ? Found->second.Duration : DefaultReturnTime;
+}
+
 auto target_set::updateShares(const route::target_entry &Entry) -> void {
   target_health &Health = HealthByTarget[Entry.Id];
   Health.setMaxOutstanding(connectionShare(Entry.Service));
@@ -74,6 +91,7 @@
   const route::target_entry *Best = nullptr;
   double LowestCost = std::numeric_limits<double>::max();
   ++Rotation;
+  const double Draw = std::fmod(static_cast<double>(Rotation) * GoldenRatio, 1);
   for (std::size_t Step = 0; Step < Usable.size(); ++Step) {
     const route::target_entry *Entry =
         Usable[(Step + Rotation) % Usable.size()];
@@ -87,6 +105,8 @@
       Cost *= OwnDomainCostFactor;
     if (Health.isSilent(MedianLatency, Now))
       Cost *= SilentCostFactor;
+    if (Draw >= Health.returnShare(Now))
+      Cost *= HeldBackCostFactor;
     if (Cost >= LowestCost)
       continue;
     LowestCost = Cost;
--- a/src/placement/targetset.h
+++ b/src/placement/targetset.h
@@ -2,6 +2,7 @@
 
 #include "placement/targethealth.h"
 #include "route/targetregistry.h"
+#include "route/types/coldstart.h"
 
 #include <map>
 #include <optional>
@@ -21,8 +22,8 @@
   auto registry() -> route::target_registry & { return Registry; }
   auto registry() const -> const route::target_registry & { return Registry; }
 
-  /// Applies changes of the registry: resets the health of new targets and
-  /// drops that of removed ones.
+  /// Applies changes of the registry: resets the health of new targets and of
+  /// those that return from an evacuation, and drops that of removed ones.
   auto apply(const route::target_registry::changes &Changes, time_point Now)
       -> void;
 
@@ -31,6 +32,12 @@
   auto setConnectionLimits(std::map<std::string, int> MaxConnections,
                            int Instances) -> void;
 
+  /// Sets the bounds of cold targets, by service.
+  auto setColdStarts(std::map<std::string, route::cold_start> NewColdStarts)
+      -> void {
+    ColdStarts = std::move(NewColdStarts);
+  }
+
   /// Returns the available target of \p Service with the lowest cost that
   /// isn't in \p Tried, or null. A refusal costs \p RefusalCost median
   /// latencies.
@@ -77,12 +84,16 @@
 
 private:
   auto updateShares(const route::target_entry &Entry) -> void;
+  /// Returns how long a target of \p Service is loaded slowly after an
+  /// evacuation.
+  auto returnTime(const std::string &Service) const -> milliseconds;
 
   std::string OwnDomain;
   route::target_registry Registry;
   /// By target id.
   std::unordered_map<std::string, target_health> HealthByTarget;
   std::map<std::string, int> MaxConnections;
+  std::map<std::string, route::cold_start> ColdStarts; ///< by service
   int Instances = 1;
   std::size_t Rotation = 0; ///< rotates among targets of equal cost
 };
--- a/src/route/targetregistry.cpp
+++ b/src/route/targetregistry.cpp
@@ -4,6 +4,7 @@
 
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace tarragon::route {
 
@@ -58,11 +59,14 @@
   const bool Restarted = IsNew || isRestarted(Entry, Existing->second.Entry);
   const bool DrainingChanged =
       IsNew || Entry.Draining != Existing->second.Entry.Draining;
+  const bool WasEvacuated = !IsNew && isEvacuated(Existing->second.Entry);
+  const bool EvacuationChanged = !IsNew && WasEvacuated != isEvacuated(Entry);
   Entries[Entry.Id] = {Entry, std::nullopt};
-  if (!Restarted && !DrainingChanged)
+  if (!Restarted && !DrainingChanged && !EvacuationChanged)
     return {};
   rebuildIndex();
-  return {{Entry.Id, !Entry.Draining, Restarted}};
+  return {
+      {Entry.Id, isUsable(Entry), Restarted, WasEvacuated && isUsable(Entry)}};
 }
 
 auto target_registry::remove(const std::string &Id, const time_point DropAt)
@@ -87,6 +91,21 @@
   return Changes;
 }
 
+auto target_registry::setEvacuated(std::set<std::string> Domains) -> changes {
+  std::set<std::string> Before = std::exchange(Evacuated, std::move(Domains));
+  changes Changes;
+  for (const auto &[Id, Record] : Entries) {
+    const bool IsUsable = isUsable(Record.Entry);
+    const bool WasUsable =
+        !Record.Entry.Draining && !Before.contains(Record.Entry.FailureDomain);
+    if (IsUsable != WasUsable)
+      Changes.push_back({Id, IsUsable, false, IsUsable});
+  }
+  if (!Changes.empty())
+    rebuildIndex();
+  return Changes;
+}
+
 auto target_registry::expire(const time_point Now) -> changes {
   changes Changes;
   for (auto Record = Entries.begin(); Record != Entries.end();) {
@@ -129,7 +148,7 @@
 auto target_registry::rebuildIndex() -> void {
   Usable.clear();
   for (const auto &[Id, Record] : Entries)
-    if (!Record.Entry.Draining)
+    if (isUsable(Record.Entry))
       Usable[Record.Entry.Service].push_back(&Record.Entry);
 }
 
--- a/src/route/targetregistry.h
+++ b/src/route/targetregistry.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,8 @@
 ///
 /// A removed target stays usable for some time, because its entry may come back
 /// after an outage of the store. A draining target gets no new requests from
-/// the moment its entry arrives. Not thread-safe.
+/// the moment its entry arrives, and so does one in an evacuated failure
+/// domain. Not thread-safe.
 class target_registry {
 public:
   /// A change of one target.
@@ -22,6 +24,7 @@
     std::string Id;
     bool Usable = false;
     bool Restarted = false; ///< new incarnation, address or service
+    bool Returned = false;  ///< usable again after an evacuation
   };
   using changes = std::vector<change>;
 
@@ -42,6 +45,17 @@
   auto replaceAll(const std::vector<target_entry> &Entries, time_point DropAt)
       -> changes;
 
+  /// Evacuates exactly the failure domains \p Domains: targets in them, also
+  /// those that appear or change later, get no new requests.
+  auto setEvacuated(std::set<std::string> Domains) -> changes;
+
+  auto evacuated() const -> const std::set<std::string> & { return Evacuated; }
+
+  /// Returns whether the failure domain of \p Entry is evacuated.
+  auto isEvacuated(const target_entry &Entry) const -> bool {
+    return !Evacuated.empty() && Evacuated.contains(Entry.FailureDomain);
+  }
+
   /// Drops the removed targets that are due at \p Now.
   auto expire(time_point Now) -> changes;
 
@@ -66,9 +80,13 @@
   };
 
   auto isLeaving(const target_entry &Entry) const -> bool;
+  auto isUsable(const target_entry &Entry) const -> bool {
+    return !Entry.Draining && !isEvacuated(Entry);
+  }
   auto rebuildIndex() -> void;
 
   std::map<std::string, record> Entries; ///< by id
+  std::set<std::string> Evacuated;       ///< failure domains
   /// Start of the incarnation that said that it leaves, by target id.
   std::map<std::string, std::int64_t> Leaving;
   std::deque<std::string> LeavingOrder; ///< ids in Leaving, oldest first
