Show client accounts to operators

Change: the status view and `tarragonctl accounts` list up to 64 accounts without their keys. The head of a forwarded request is built in a source file of its own.

--- a/src/ctl/commandrunner.h
+++ b/src/ctl/commandrunner.h
@@ -44,6 +44,7 @@
     case command::Burn:
       return view("/admin/v1/burn");
     case command::Targets:
+    case command::Accounts:
       return view("/status");
     case command::Help:
       return Reporter.writeHelp();
--- a/src/ctl/internal/commandline.cpp
+++ b/src/ctl/internal/commandline.cpp
@@ -42,6 +42,9 @@
     command_row{"targets", command::Targets, "", true,
                 "health of the targets as observed by the tarragon-entry at "
                 "the metrics address given"},
+    command_row{"accounts", command::Accounts, "", true,
+                "client accounts in force at the tarragon-entry at the "
+                "metrics address given"},
 };
 
 constexpr std::string_view ExitCodes =
--- a/src/ctl/internal/reporting.cpp
+++ b/src/ctl/internal/reporting.cpp
@@ -65,6 +65,8 @@
     return burnText(Body);
   case command::Targets:
     return targetsText(Body);
+  case command::Accounts:
+    return accountsText(Body);
   case command::Query:
     return queryText(Body);
   case command::Apply:
--- a/src/ctl/internal/views.cpp
+++ b/src/ctl/internal/views.cpp
@@ -141,6 +141,23 @@
   return Text + Table.text();
 }
 
+auto accountsText(const Json::Value &Body) -> std::string {
+  const std::string Version = "instance " + textOf(Body, "instance") +
+                              ", version " + textOf(Body, "version") +
+                              " in force\n";
+  if (!Body.isMember("accounts"))
+    return Version + "requests need no key\n";
+  text_table Table({"ACCOUNT", "PRIORITY", "RATE PER S", "BURST", "KEYS"});
+  for (const Json::Value &Row : listOf(Body, "accounts"))
+    Table.add({textOf(Row, "account"), textOf(Row, "priority"),
+               textOf(Row, "rate_per_s"), textOf(Row, "burst"),
+               textOf(Row, "key_count")});
+  std::string Text = Version + Table.text();
+  if (numberOf(Body, "accounts_not_listed") > 0)
+    Text += "and " + textOf(Body, "accounts_not_listed") + " more\n";
+  return Text;
+}
+
 auto planText(const Json::Value &Body) -> std::string {
   const std::string Differences = differencesText(Body);
   const std::string Base = textOf(Body, "base");
--- a/src/ctl/tests/command_tests.cpp
+++ b/src/ctl/tests/command_tests.cpp
@@ -91,6 +91,28 @@
   BOOST_TEST(Targets.shows("silent"));
 }
 
+// An operator must see whether keys are needed at all, and that a long list is
+// not complete.
+BOOST_AUTO_TEST_CASE(accounts_are_listed) {
+  session Accounts(command::Accounts, [](const entry_call &) {
+    return replied(
+        R"({"instance":"n1","version":7,"accounts_not_listed":36,)"
+        R"("accounts":[{"account":"customer","priority":1,"rate_per_s":12.5,)"
+        R"("burst":40.0,"key_count":2},{"account":"other","key_count":0}]})");
+  });
+  BOOST_TEST((Accounts.run() == exit_code::Ok));
+  BOOST_TEST(Accounts.Link.Calls[0].Path == "/status");
+  BOOST_TEST(Accounts.shows("version 7 in force"));
+  BOOST_TEST(Accounts.shows("customer"));
+  BOOST_TEST(Accounts.shows("12.5"));
+  BOOST_TEST(Accounts.shows("and 36 more"));
+  session None(command::Accounts, [](const entry_call &) {
+    return replied(R"({"instance":"n1","version":7})");
+  });
+  BOOST_TEST((None.run() == exit_code::Ok));
+  BOOST_TEST(None.shows("requests need no key"));
+}
+
 BOOST_AUTO_TEST_CASE(reads_fail_over_to_the_next_entry) {
   session Status(command::Status, [](const entry_call &Call) {
     return Call.Entry == "one" ? notSent() : replied(statusBody(8, 7));
--- a/src/ctl/types/ctloptions.h
+++ b/src/ctl/types/ctloptions.h
@@ -21,6 +21,7 @@
   Snapshot,
   Burn,
   Targets,
+  Accounts,
   Help
 };
 
--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -2,13 +2,12 @@
 
 #include "gateway/callersession.h"
 #include "gateway/gateway.h"
-#include "gateway/internal/accountheaders.h"
 #include "gateway/internal/answerwriter.h"
+#include "gateway/internal/requesthead.h"
 #include "global/log.h"
 #include "route/recordmerge.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 
@@ -21,11 +20,6 @@
 
 constexpr unsigned StatusMisdirected = 421;
 
-auto equal(const std::string_view Left, const std::string_view Right) -> bool {
-  return boost::beast::iequals({Left.data(), Left.size()},
-                               {Right.data(), Right.size()});
-}
-
 auto verdictName(const plan_verdict Verdict) -> std::string {
   switch (Verdict) {
   case plan_verdict::Answer:
@@ -60,19 +54,9 @@
   const caller_request &Request = Origin.Request;
   Id = fieldOrEmpty(Request.Headers, Names.RequestId);
   Fingerprint = fingerprintOf(Request);
-  const bool HasAccounts = Origin.Table->set().Accounts.has_value();
-  CommonHead = Request.Method + ' ' + Request.RequestTarget + " HTTP/1.1\r\n";
-  for (const header_field &Field : internal::forwardedHeaders(Request.Headers))
-    if (!equal(Field.Name, Names.Deadline) &&
-        !equal(Field.Name, Names.ExpectedTarget) &&
-        !equal(Field.Name, "expect") &&
-        !(HasAccounts && internal::isAccountHeader(Field.Name, Names)))
-      CommonHead += Field.Name + ": " + Field.Value + "\r\n";
-  if (Origin.Account)
-    CommonHead += Names.Account + ": " + Origin.Account->Name + "\r\n";
-  if (Request.HasBody)
-    CommonHead +=
-        "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+  CommonHead = internal::requestHead(
+      Request, Names,
+      {Origin.Table->set().Accounts.has_value(), Origin.Account});
 }
 
 auto active_request::begin() -> void {
--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -1,5 +1,6 @@
 #include "gateway/statusview.h"
 
+#include "gateway/accountsview.h"
 #include "gateway/gateway.h"
 
 #include <json/json.h>
@@ -117,6 +118,7 @@
     Service = Entry->Service;
   }
   Value["crashes"] = viewCrashes(Gateway, Now);
+  addAccounts(Gateway, Value);
   return Value;
 }
 
--- a/src/gateway/tests/accounts_tests.cpp
+++ b/src/gateway/tests/accounts_tests.cpp
@@ -1,6 +1,9 @@
+#include "gateway/statusview.h"
 #include "gateway/tests/gatewaycase.h"
+#include "global/json.h"
 
 #include <boost/algorithm/string/case_conv.hpp>
+#include <json/json.h>
 
 #include <algorithm>
 
@@ -343,4 +346,34 @@
   BOOST_TEST(status(Case.get("/one/1", KeyA)) == "503");
 }
 
+// The status view must show the accounts without keys, stay bounded, and say
+// nothing of accounts where there are none.
+BOOST_AUTO_TEST_CASE(the_status_lists_accounts_without_keys) {
+  gateway_case Case;
+  const auto Status = [&Case] {
+    return viewStatus(Case.Gateway, std::chrono::steady_clock::now());
+  };
+  BOOST_TEST(!Status().isMember("accounts"));
+  Case.routes();
+  BOOST_TEST(!Status().isMember("accounts"));
+  route::route_set Set = withAccounts(8, {});
+  for (int Number = 0; Number < 100; ++Number)
+    Set.Accounts->push_back(makeAccount(std::to_string(Number)));
+  Set.Accounts->at(1).Priority = 2;
+  Set.Accounts->at(1).RatePerSecond = 12.5;
+  Set.Accounts->at(1).Burst = 40;
+  Case.setRoutes(Set);
+  const Json::Value View = Status();
+  BOOST_TEST(View["accounts"].size() == 64U);
+  BOOST_TEST(View["accounts_not_listed"].asInt() == 36);
+  const Json::Value &Row = View["accounts"][1];
+  BOOST_TEST(Row["account"].asString() == "account 1");
+  BOOST_TEST(Row["priority"].asInt() == 2);
+  BOOST_TEST(Row["rate_per_s"].asDouble() == 12.5);
+  BOOST_TEST(Row["burst"].asDouble() == 40);
+  BOOST_TEST(Row["key_count"].asInt() == 2);
+  BOOST_TEST(!View["accounts"][0].isMember("priority"));
+  BOOST_TEST(occurrences(writeJson(View), "secret") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
