--- a/src/gateway/gatewayaccounts.cpp
+++ b/src/gateway/gatewayaccounts.cpp
@@ -77,6 +77,7 @@
   caller_answer Answer;
   Answer.Status = StatusUnauthorized;
   Answer.Body = std::string(UnknownKey) + "\n";
+  Answer.BodyOmitted = Request.Method == "HEAD";
   Session->answer(std::move(Answer));
 }
 
--- a/src/gateway/tests/accounts_tests.cpp
+++ b/src/gateway/tests/accounts_tests.cpp
@@ -245,6 +245,21 @@
   BOOST_TEST(headerValue(Target.requests()[1], "App-Account") == "account b");
 }
 
+// A caller reads a body behind the answer to HEAD as the next answer.
+BOOST_AUTO_TEST_CASE(a_refusal_of_head_has_no_body) {
+  gateway_case Case;
+  Case.target("t0", "s0", success);
+  Case.setRoutes(withAccounts(7, {"a"}));
+  scripted_caller Caller(Case.Loop, Case.Address);
+  Caller.send("HEAD /one/1 HTTP/1.1\r\nHost: h.example\r\n\r\n" +
+              request(KeyA));
+  BOOST_REQUIRE(runUntil(Case.Loop, [&] {
+    return Caller.received().find("body") != std::string::npos;
+  }));
+  BOOST_TEST(status(Caller.received()) == "401");
+  BOOST_TEST(body(Caller.received()).starts_with("HTTP/1.1 200"));
+}
+
 // The version that a request is pinned to must outlive a newer one, and the
 // retry must not lose or change the name.
 BOOST_AUTO_TEST_CASE(a_retry_carries_the_account_of_the_pinned_version) {
