--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -1,5 +1,6 @@
 #include "gateway/statusview.h"
 
+#include "gateway/accountsview.h"
 #include "gateway/gateway.h"
 
 #include <json/json.h>
@@ -125,6 +126,7 @@
   for (const std::string &Domain : Gateway.targets().registry().evacuated())
     if (Value["evacuated_domains"].size() < MaxDomains)
       Value["evacuated_domains"].append(Domain);
+  addAccounts(Gateway, Value);
   return Value;
 }
 
