Give a document without objects to peers that have no copy

Cause: the newest change of an empty list has revision 0, which is newer than no copy; no peer fetched the list of evacuations, and after a second each instance requested it from the store. Change: an instance without a copy lacks any document.

--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -120,6 +120,15 @@
   }));
 }
 
+// Otherwise every instance would request a document that has never had an
+// object from its source.
+BOOST_AUTO_TEST_CASE(an_instance_without_a_copy_lacks_an_unchanged_document) {
+  const document_mark Unchanged{5, 0};
+  BOOST_TEST(Unchanged.isNewerThan({0, 0}));
+  BOOST_TEST(!Unchanged.isNewerThan({3, 0}));
+  BOOST_TEST(!document_mark().isNewerThan({0, 0}));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_instance_is_no_ready_peer) {
   fleet_case Case(4);
   BOOST_REQUIRE(Case.runUntil([&] { return Case.allHavePeers(3); }));
--- a/src/fleet/types/documentmark.h
+++ b/src/fleet/types/documentmark.h
@@ -10,9 +10,9 @@
   std::uint64_t Changed = 0; ///< revision of the newest change in the copy
 
   /// Returns whether a copy at this mark has a change that a copy at \p Mine
-  /// lacks.
+  /// lacks. An instance without a copy lacks any, also one that never changed.
   auto isNewerThan(const document_mark &Mine) const -> bool {
-    return Changed > Mine.AsOf;
+    return Changed > Mine.AsOf || (Mine.AsOf == 0 && AsOf > 0);
   }
 };
 
