Add the ledger of shared quotas of client accounts

Cause: nothing limits the requests of a client account over all instances. Change: quota_ledger keeps a token bucket for each account with a limit and takes its own admissions and those that peers report from it; quota_group tracks which peers are heard and reserves the shares of silent ones. Two faults were found by trials on the way: fractions that joining instances adopted from each other, and tokens reserved for silent peers that a lost datagram released; both are corrected here.

--- /dev/null
+++ b/src/account/quotaledger.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "account/accountusage.h"
+#include "account/quotagroup.h"
+#include "account/types/quotadecision.h"
+#include "account/types/quotalimits.h"
+#include "account/types/quotapeers.h"
+#include "account/types/quotastatus.h"
+#include "account/types/usagereport.h"
+#include "route/types/account.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace tarragon::account {
+
+/// Decides which requests of client accounts with a limit may run, so that all
+/// instances together keep the limit. Each instance takes its own admissions
+/// and those that its peers report from a token bucket for each account.
+///
+/// Load pattern: callers of one account that use any or all instances, at rates
+/// from one request in seconds to several times the limit. Uses no clock and
+/// performs no I/O. Not thread-safe.
+class quota_ledger {
+public:
+  explicit quota_ledger(quota_limits Limits);
+
+  /// Sets the accounts of a version. Keeps the state of those that stay.
+  auto setAccounts(const std::vector<route::account> &Accounts, time_point Now)
+      -> void;
+  auto setInstances(const quota_peers &Peers, time_point Now) -> void;
+
+  /// Returns whether an account has a limit. Without one, there is nothing to
+  /// report.
+  auto isActive() const -> bool { return !Usages.empty(); }
+
+  /// Takes a token of \p Account; admits an account without a limit.
+  auto tryAcquire(std::string_view Account, time_point Now) -> quota_decision;
+
+  /// Returns the token of a request that was not sent.
+  auto refund(std::string_view Account, time_point Now) -> void;
+
+  /// Returns a report if one is due; to be called every ReportPeriod while the
+  /// ledger is active. A longer gap counts as a suspension.
+  auto makeReport(time_point Now) -> std::optional<usage_report>;
+
+  /// Returns peers that aren't serving but sent a report recently. They receive
+  /// reports as well.
+  auto guests() const -> std::vector<address>;
+
+  auto onReport(const address &From, std::uint64_t Incarnation,
+                const usage_report &Report, time_point Now) -> void;
+
+  /// Releases the share of a peer that leaves.
+  auto onLeft(const address &Peer, time_point Now) -> void;
+
+  /// Discards the levels: requests of the others were missed.
+  auto onSuspended(time_point Now) -> void;
+
+  auto status(time_point Now) -> quota_status;
+
+  static constexpr milliseconds ReportPeriod{100};
+
+private:
+  using usages = std::unordered_map<std::uint64_t, account_usage>;
+
+  auto advance(time_point Now) -> void;
+  /// Applies changes of the reserved shares to all buckets.
+  auto applySteps() -> void;
+  auto settle(account_usage &Usage, time_point Now) -> void;
+  auto fraction() const -> double;
+  auto shares() const -> shared_bucket::shares;
+  auto refillRate(const account_usage &Usage) const -> double;
+  /// Returns the tokens that the peers have probably taken since they reported.
+  auto unreported(const account_usage &Usage, time_point Now) const -> double;
+  auto peerRate(const account_usage::peer_count &Count) const -> double;
+  /// Returns how many requests may be admitted before the peers hear of them.
+  auto allowance(account_usage &Usage, double Level, time_point Now) -> double;
+  auto acquireFloor(account_usage &Usage, time_point Now) -> quota_decision;
+  auto hasFloor(std::uint64_t Hash, const account_usage &Usage) const -> bool;
+  auto shiftRound(account_usage &Usage, time_point Now) const -> void;
+  auto applyRow(const quota_group::peer &Peer, bool WasSilent, bool IsComplete,
+                const usage_row &Row) -> void;
+  auto updateKnowledge(time_point Now) -> void;
+  /// Starts with empty buckets, as no instance knows the levels.
+  auto startEmpty(time_point Now) -> void;
+  auto learnLevels(time_point Now) -> void;
+  auto lowestAccounts() const -> std::vector<std::uint64_t>;
+  auto addRows(usage_report &Report, const std::vector<std::uint64_t> &Accounts,
+               time_point Now) -> void;
+  auto wantsReports(time_point Now) const -> bool;
+
+  quota_limits Limits;
+  usages Usages; ///< of accounts with a limit, by hash of the name
+  quota_group Group;
+  quota_peers Peers;
+  std::vector<std::uint64_t> Dirty; ///< accounts to report
+  std::uint64_t Sequence = 0;
+  std::uint64_t Round = 0;
+  bool KnowsLevels = false;
+  bool HasAdoptedFraction = false;
+  bool MustSendLevels = false; ///< a peer needs a complete report
+  time_point UnknownSince;
+  std::optional<time_point> FirstLevelsAt;
+  time_point KnownSince;
+  std::optional<time_point> RestoreAt;
+  std::optional<time_point> TickAt;
+  time_point ReportedAt;
+  time_point UsedAt; ///< by a caller, for an instance that isn't serving
+};
+
+} // namespace tarragon::account
--- /dev/null
+++ b/src/account/quotaparts.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "account/types/quotalimits.h"
+
+#include <algorithm>
+
+namespace tarragon::account {
+
+/// How the tolerance of a quota, Overage x (rate x Window + burst) + Slack, is
+/// divided. The parts sum to 0.85 of it; the rest is a margin: requests run a
+/// varying time after they are admitted, and timers fire late.
+struct quota_parts {
+  /// Tokens of the bucket beyond the burst. They absorb what this instance
+  /// counts too early (extrapolation) or too long (a silent peer's share).
+  double Capacity = 0;
+  /// Tokens that all instances together may admit beyond the level before
+  /// their reports reach each other.
+  double Delay = 0;
+  /// Tokens for instances that each admit one request at the same moment, and
+  /// for those that don't know the levels.
+  double Floors = 0;
+
+  static auto of(const quota_limits &Limits, const double Rate,
+                 const double Burst) -> quota_parts {
+    const double Window = std::chrono::duration<double>(Limits.Window).count();
+    const double Tolerance =
+        std::max(0.0, Limits.Overage * (Rate * Window + Burst) + Limits.Slack);
+    return {0.3 * Tolerance, 0.4 * Tolerance, 0.15 * Tolerance};
+  }
+};
+
+} // namespace tarragon::account
--- /dev/null
+++ b/src/account/quotareports.cpp
@@ -0,0 +1,291 @@
+// Exchange of usage with the peers, and when their levels are known.
+#include "account/quotaledger.h"
+
+#include "account/internal/ratedecay.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragon::account {
+
+namespace {
+
+using internal::decay;
+using internal::LearnTime;
+using internal::RateMemory;
+using internal::seconds;
+
+/// Serving instances report at least this often, so that peers can tell that
+/// they are connected.
+constexpr milliseconds EmptyReportPeriod{300};
+/// A gap between two timer calls in which all peers would count as silent.
+constexpr milliseconds MinSuspension{400};
+/// Instances that start together and find that none of them knows the levels
+/// start with empty buckets after it.
+constexpr milliseconds StartTime{600};
+/// An instance that finds no peer within it is the only one.
+constexpr std::chrono::seconds LonelyTime{60};
+/// An instance that isn't serving exchanges reports for this long after its
+/// last request.
+constexpr std::chrono::seconds GuestTime{3};
+/// An instance that adopted the levels also adopts the share at which its peers
+/// refill, until shares that were reserved at that time are released.
+constexpr std::chrono::seconds AdoptedFractionTime{60};
+/// Shortest time over which a rate is measured.
+constexpr seconds MinRateTime{0.05};
+/// Rows of a datagram of less than 32 KB.
+constexpr std::size_t MaxRows = 600;
+
+} // namespace
+
+auto quota_ledger::learnLevels(const time_point Now) -> void {
+  KnowsLevels = false;
+  UnknownSince = Now;
+  FirstLevelsAt.reset();
+  RestoreAt.reset();
+  HasAdoptedFraction = false;
+  Group.restart(Now);
+  for (auto &[Hash, Usage] : Usages) {
+    settle(Usage, Now);
+    Usage.Bucket.reset(Usage.Bucket.capacity());
+    Usage.Peers.clear();
+  }
+}
+
+auto quota_ledger::onSuspended(const time_point Now) -> void {
+  TickAt = Now;
+  learnLevels(Now);
+}
+
+auto quota_ledger::startEmpty(const time_point Now) -> void {
+  KnowsLevels = true;
+  KnownSince = Now;
+  // Requests that earlier incarnations admitted have left the window by then.
+  RestoreAt = Now + Limits.Window;
+  for (auto &[Hash, Usage] : Usages) {
+    settle(Usage, Now);
+    Usage.Bucket.reset(Now < Usage.FloorAt ? 0 : 1);
+  }
+}
+
+auto quota_ledger::updateKnowledge(const time_point Now) -> void {
+  if (RestoreAt && Now >= *RestoreAt) {
+    RestoreAt.reset();
+    for (auto &[Hash, Usage] : Usages) {
+      Usage.Bucket.take(-Usage.Bucket.capacity());
+      settle(Usage, Now);
+    }
+  }
+  if (HasAdoptedFraction && Now - KnownSince > AdoptedFractionTime)
+    HasAdoptedFraction = false;
+  const auto &All = Group.peers();
+  if (KnowsLevels) {
+    const bool HearsPeers = Group.heard() > 0;
+    if (!Peers.IsServing && !HearsPeers && !Peers.IsAlone &&
+        !Peers.Serving.empty())
+      learnLevels(Now);
+    return;
+  }
+  const bool Heard = std::any_of(All.begin(), All.end(), [](const auto &Entry) {
+    return Entry.second.Sequence > 0;
+  });
+  const bool HaveAllSent =
+      !All.empty() && std::all_of(All.begin(), All.end(), [](const auto &Each) {
+        return !Each.second.IsMember || Each.second.HasSentLevels;
+      });
+  if (FirstLevelsAt && (HaveAllSent || Now - *FirstLevelsAt >= LearnTime)) {
+    KnowsLevels = true;
+    HasAdoptedFraction = true;
+    KnownSince = Now;
+    return;
+  }
+  const bool DoesAnyKnow =
+      std::any_of(All.begin(), All.end(), [](const auto &Entry) {
+        return Entry.second.IsMember && Entry.second.Reserved <= 0 &&
+               Entry.second.KnowsLevels;
+      });
+  const auto Waited = Now - UnknownSince;
+  if (Peers.IsAlone || (Peers.Serving.empty() && Waited >= LonelyTime) ||
+      (Peers.IsServing && Heard && !DoesAnyKnow && Waited >= StartTime))
+    startEmpty(Now);
+}
+
+auto quota_ledger::wantsReports(const time_point Now) const -> bool {
+  return Peers.IsServing || Now - UsedAt < GuestTime;
+}
+
+auto quota_ledger::makeReport(const time_point Now)
+    -> std::optional<usage_report> {
+  if (!isActive())
+    return std::nullopt;
+  if (TickAt && Now - *TickAt > MinSuspension)
+    onSuspended(Now);
+  TickAt = Now;
+  advance(Now);
+  ++Round;
+  const bool IsComplete = MustSendLevels && KnowsLevels;
+  const bool IsDue = Now - ReportedAt >= EmptyReportPeriod || !KnowsLevels;
+  if (Dirty.empty() && !IsComplete && !(IsDue && wantsReports(Now)))
+    return std::nullopt;
+  usage_report Report;
+  Report.Sequence = ++Sequence;
+  Report.IsServing = Peers.IsServing;
+  Report.NeedsLevels = !KnowsLevels;
+  Report.IsComplete = IsComplete;
+  // A fraction that is itself adopted would be passed round forever.
+  Report.Fraction = HasAdoptedFraction ? 0 : fraction();
+  if (RestoreAt)
+    Report.RestoreIn = std::chrono::ceil<milliseconds>(*RestoreAt - Now);
+  addRows(Report, IsComplete ? lowestAccounts() : Dirty, Now);
+  MustSendLevels = MustSendLevels && !IsComplete;
+  std::erase_if(Dirty, [this](const std::uint64_t Hash) {
+    const account_usage &Usage = Usages.at(Hash);
+    return Usage.Count == Usage.Reported;
+  });
+  ReportedAt = Now;
+  return Report;
+}
+
+auto quota_ledger::lowestAccounts() const -> std::vector<std::uint64_t> {
+  std::vector<std::pair<double, std::uint64_t>> All;
+  for (const auto &[Hash, Usage] : Usages)
+    All.emplace_back(Usage.Bucket.level() / Usage.Bucket.capacity(), Hash);
+  std::sort(All.begin(), All.end());
+  std::vector<std::uint64_t> Accounts;
+  for (const auto &[Level, Hash] : All)
+    Accounts.push_back(Hash);
+  return Accounts;
+}
+
+auto quota_ledger::addRows(usage_report &Report,
+                           const std::vector<std::uint64_t> &Accounts,
+                           const time_point Now) -> void {
+  for (const std::uint64_t Hash : Accounts) {
+    if (Report.Rows.size() >= MaxRows)
+      return;
+    account_usage &Usage = Usages.at(Hash);
+    settle(Usage, Now);
+    Report.Rows.push_back({Hash, Usage.Count, Usage.Bucket.level()});
+    Usage.Reported = Usage.Count;
+  }
+}
+
+auto quota_ledger::guests() const -> std::vector<address> {
+  std::vector<address> Guests;
+  for (const auto &[Address, Peer] : Group.peers())
+    if (std::find(Peers.Serving.begin(), Peers.Serving.end(), Address) ==
+        Peers.Serving.end())
+      Guests.push_back(Address);
+  return Guests;
+}
+
+auto quota_ledger::applyRow(const quota_group::peer &Peer, const bool WasSilent,
+                            const bool IsComplete, const usage_row &Row)
+    -> void {
+  const auto Found = Usages.find(Row.Account);
+  if (Found == Usages.end())
+    return;
+  account_usage &Usage = Found->second;
+  settle(Usage, Peer.HeardAt);
+  auto Count = std::find_if(
+      Usage.Peers.begin(), Usage.Peers.end(),
+      [&Peer](const auto &Each) { return Each.Peer == Peer.Number; });
+  const bool IsFirst = Count == Usage.Peers.end();
+  if (IsFirst)
+    Count = Usage.Peers.insert(Count, {Peer.Number, 0, 0, Peer.PreviousAt});
+  const bool IsAdopting = !KnowsLevels && !Peer.HasSentLevels;
+  if (IsAdopting && !IsComplete) {
+    // The levels that it will send have these requests.
+    Count->Count = Row.Count;
+    return;
+  }
+  if (IsAdopting || (IsFirst && !Peer.IsFullyCounted)) {
+    // Its earlier requests may be in the level already; its own view of the
+    // level has all of them.
+    Count->Count = Row.Count;
+    Usage.Bucket.lower(Row.Level);
+    return;
+  }
+  const double Change =
+      static_cast<double>(Row.Count) - static_cast<double>(Count->Count);
+  if (WasSilent)
+    Usage.Bucket.takeReserved(Peer.Pool, Change);
+  else
+    Usage.Bucket.take(Change);
+  const seconds Span =
+      std::max<seconds>(Peer.HeardAt - Peer.PreviousAt, MinRateTime);
+  const double Weight = 1 - std::exp(-Span / RateMemory);
+  const double Before = Count->Rate * decay(Peer.PreviousAt - Count->At);
+  Count->Rate =
+      Before + Weight * (std::max(Change, 0.0) / Span.count() - Before);
+  Count->Count = Row.Count;
+  Count->At = Peer.HeardAt;
+}
+
+auto quota_ledger::onReport(const address &From,
+                            const std::uint64_t Incarnation,
+                            const usage_report &Report, const time_point Now)
+    -> void {
+  if (!isActive())
+    return;
+  advance(Now);
+  const auto Before = shares();
+  quota_group::peer *Peer = Group.hear(From, Incarnation, Report, Now);
+  if (!Peer)
+    return;
+  // hear() may have released the share of the peer. What it used of it is taken
+  // first.
+  const bool WasSilent = Group.hasSteps();
+  if (WasSilent)
+    for (auto &[Hash, Usage] : Usages)
+      Usage.Bucket.refill(Before, Now);
+  for (const usage_row &Row : Report.Rows)
+    applyRow(*Peer, WasSilent, Report.IsComplete, Row);
+  applySteps();
+  if (Report.NeedsLevels)
+    MustSendLevels = true;
+  if (Report.IsComplete) {
+    Peer->IsFullyCounted = Peer->IsFullyCounted || Report.Rows.size() < MaxRows;
+    Peer->HasSentLevels = true;
+    if (!KnowsLevels && !FirstLevelsAt)
+      FirstLevelsAt = Now;
+    if (!KnowsLevels && Report.RestoreIn.count() > 0)
+      RestoreAt = std::max(RestoreAt.value_or(Now), Now + Report.RestoreIn);
+  }
+  // Counts of earlier incarnations.
+  for (const usage_row &Row : Report.Rows)
+    if (const auto Found = Usages.find(Row.Account); Found != Usages.end())
+      std::erase_if(Found->second.Peers, [this](const auto &Count) {
+        return !Group.peerNumbered(Count.Peer);
+      });
+  updateKnowledge(Now);
+}
+
+auto quota_ledger::onLeft(const address &Peer, const time_point Now) -> void {
+  const auto Before = shares();
+  Group.release(Peer);
+  if (Group.hasSteps()) {
+    for (auto &[Hash, Usage] : Usages)
+      Usage.Bucket.refill(Before, Now);
+    applySteps();
+  }
+}
+
+auto quota_ledger::status(const time_point Now) -> quota_status {
+  quota_status Status{
+      Group.heard(), Group.silent(), KnowsLevels, fraction(), {}};
+  advance(Now);
+  for (auto &[Hash, Usage] : Usages) {
+    settle(Usage, Now);
+    Status.Rows.push_back({Usage.Name, Usage.Bucket.rate(),
+                           Usage.Bucket.level() - unreported(Usage, Now),
+                           Usage.Count, Usage.Refused});
+  }
+  std::sort(Status.Rows.begin(), Status.Rows.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.Account < Right.Account;
+            });
+  return Status;
+}
+
+} // namespace tarragon::account
--- /dev/null
+++ b/src/account/sharedbucket.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "account/types/reservedpool.h"
+#include "global/types/time.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace tarragon::account {
+
+/// A token bucket that several instances take from. The parts of silent
+/// instances are kept apart: they may use them where this instance can't see
+/// it. Levels may be below zero.
+class shared_bucket {
+public:
+  /// The shares of the heard and of the silent instances.
+  struct shares {
+    double Heard = 1;
+    std::vector<reserved_pool> Pools;
+  };
+
+  shared_bucket(const double NewRate, const double NewCapacity,
+                const time_point Now)
+      : Rate(NewRate), Capacity(NewCapacity), Level(NewCapacity), At(Now) {}
+
+  auto refill(const shares &Shares, const time_point Now) -> void {
+    if (Now <= At)
+      return;
+    const double Tokens =
+        Rate * std::chrono::duration<double>(Now - At).count();
+    At = Now;
+    Level = std::min(Capacity * Shares.Heard, Level + Tokens * Shares.Heard);
+    // Without the capacity: release() needs all that silent instances could
+    // use, as their usage is taken from it later.
+    for (const reserved_pool &Pool : Shares.Pools)
+      reserved(Pool.Id) += Tokens * Pool.Share;
+  }
+
+  auto take(const double Tokens) -> void { Level -= Tokens; }
+  auto lower(const double NewLevel) -> void {
+    Level = std::min(Level, NewLevel);
+  }
+  auto reset(const double NewLevel) -> void {
+    Level = NewLevel;
+    Reserved.clear();
+  }
+
+  /// Reserves \p Part of the level in \p Pool for an instance that became
+  /// silent.
+  auto reserve(const std::uint32_t Pool, const double Part) -> void {
+    reserved(Pool) += Level * Part;
+    Level -= Level * Part;
+  }
+  auto takeReserved(const std::uint32_t Pool, const double Tokens) -> void {
+    reserved(Pool) -= Tokens;
+  }
+  /// Returns \p Part of \p Pool to the level; 1 removes the pool.
+  auto release(const reserved_pool &Pool, const double Part) -> void {
+    const double Tokens =
+        std::min(reserved(Pool.Id), Capacity * Pool.Share) * Part;
+    Level += Tokens;
+    reserved(Pool.Id) -= Tokens;
+    if (Part >= 1)
+      std::erase_if(Reserved, [&Pool](const tokens &Each) {
+        return Each.Pool == Pool.Id;
+      });
+  }
+
+  auto setLimit(const double NewRate, const double NewCapacity) -> void {
+    Rate = NewRate;
+    Capacity = NewCapacity;
+    Level = std::min(Level, Capacity);
+  }
+
+  auto level() const -> double { return Level; }
+  auto rate() const -> double { return Rate; }
+  auto capacity() const -> double { return Capacity; }
+
+private:
+  struct tokens {
+    std::uint32_t Pool = 0;
+    double Count = 0;
+  };
+
+  auto reserved(const std::uint32_t Pool) -> double & {
+    for (tokens &Each : Reserved)
+      if (Each.Pool == Pool)
+        return Each.Count;
+    return Reserved.emplace_back(tokens{Pool, 0}).Count;
+  }
+
+  double Rate;
+  double Capacity;
+  double Level;
+  std::vector<tokens> Reserved;
+  time_point At;
+};
+
+} // namespace tarragon::account
--- /dev/null
+++ b/src/account/types/usagereport.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "global/types/time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace tarragon::account {
+
+/// The requests of one account that an instance admitted.
+struct usage_row {
+  std::uint64_t Account = 0; ///< hash of its name
+  std::uint64_t Count = 0;   ///< in this incarnation of the sender
+  double Level = 0;          ///< tokens left, as the sender sees it
+
+  auto operator==(const usage_row &) const -> bool = default;
+};
+
+/// What an instance admitted, for the instances that share the quotas. Counts
+/// are cumulative, so that the next report replaces a lost one.
+struct usage_report {
+  std::uint64_t Sequence = 0; ///< increases with each report of an incarnation
+  bool IsServing = false;     ///< holds a share of the rates
+  bool NeedsLevels = false;   ///< asks the receivers for a complete report
+  bool IsComplete = false;    ///< accounts without a row were not used
+  double Fraction = 1; ///< of the rates, at which the sender refills; 0: it
+                       ///< adopted that of others
+  milliseconds RestoreIn{0};   ///< until levels are restored; 0: they are
+  std::vector<usage_row> Rows; ///< accounts that changed
+
+  auto operator==(const usage_report &) const -> bool = default;
+};
+
+} // namespace tarragon::account
