Refuse requests over an account's quota with 429 before they are sent

Cause: the ledger of quotas decided nothing yet, and instances did not know each other's usage. Change: fleet_datagram has an optional field with reports of usage, which older readers ignore; fleet_link sends them to the serving instances and to those that reported lately, and says when a peer leaves. The gateway takes a token after authentication and the checks for stop and poison, refuses with 429 and a Retry-After that jitter only lengthens, and refunds the token of a request that is proven not to have run. Counters for the 16 largest accounts, at most 5 log lines a second, rows in the status view. Incarnations of a machine are told apart by the id of the process, as its incarnation number is always 1. Conclusion: without quota fields in the settings nothing changes.

--- a/src/account/quotagroup.cpp
+++ b/src/account/quotagroup.cpp
@@ -36,19 +36,22 @@
                        const usage_report &Report, const time_point Now)
     -> peer * {
   peer &Peer = Peers.try_emplace(From).first->second;
-  if (Incarnation < Peer.Incarnation ||
-      (Incarnation == Peer.Incarnation && Report.Sequence <= Peer.Sequence))
+  const bool IsNew = Peer.Sequence == 0 || Incarnation != Peer.Incarnation;
+  const bool IsLate = IsNew ? Incarnation == Peer.FormerIncarnation
+                            : Report.Sequence <= Peer.Sequence;
+  if (IsLate)
     return nullptr;
   unreserve(Peer);
-  if (Incarnation != Peer.Incarnation || Peer.Sequence == 0) {
-    const bool WasMember = Peer.IsMember;
-    ByNumber.erase(Peer.Number);
+  if (IsNew) {
+    const peer Former = Peer;
+    ByNumber.erase(Former.Number);
     Peer = {};
     renumber(Peer);
     Peer.Incarnation = Incarnation;
-    Peer.IsMember = WasMember;
+    Peer.FormerIncarnation = Former.Incarnation;
     Peer.IsFullyCounted = Report.NeedsLevels;
     Peer.HeardAt = Now;
+    Peer.Pool = Former.Pool;
   }
   Peer.Sequence = Report.Sequence;
   Peer.PreviousAt = Peer.HeardAt;
@@ -59,9 +62,10 @@
   return &Peer;
 }
 
-auto quota_group::release(const address &Address) -> void {
+auto quota_group::release(const address &Address,
+                          const std::uint64_t Incarnation) -> void {
   const auto Found = Peers.find(Address);
-  if (Found != Peers.end())
+  if (Found != Peers.end() && Found->second.Incarnation == Incarnation)
     leave(Found->second);
 }
 
--- a/src/account/quotagroup.h
+++ b/src/account/quotagroup.h
@@ -20,7 +20,8 @@
   struct peer {
     std::uint32_t Number = 0; ///< identifies this incarnation in the ledger
     std::uint64_t Incarnation = 0;
-    std::uint64_t Sequence = 0; ///< of its last report; 0: none
+    std::uint64_t FormerIncarnation = 0; ///< replaced by this one
+    std::uint64_t Sequence = 0;          ///< of its last report; 0: none
     time_point HeardAt;
     time_point PreviousAt; ///< of the report before the last one
     bool IsMember = false; ///< holds a share of the rates
@@ -42,12 +43,13 @@
   /// Adds new serving peers; the others stay until they are released.
   auto setPeers(const quota_peers &Peers, time_point Now) -> void;
 
-  /// Records a report of the peer at \p From. Returns null for a late one.
+  /// Records a report of the peer at \p From. Incarnations differ, but have no
+  /// order. Returns null for a late report.
   auto hear(const address &From, std::uint64_t Incarnation,
             const usage_report &Report, time_point Now) -> peer *;
 
   /// Releases the share of a peer that announced that it leaves.
-  auto release(const address &Peer) -> void;
+  auto release(const address &Peer, std::uint64_t Incarnation) -> void;
 
   /// Reserves the shares of peers that became silent and releases those of
   /// peers that were silent for long.
--- a/src/account/quotaledger.cpp
+++ b/src/account/quotaledger.cpp
@@ -52,7 +52,7 @@
       account_usage Usage{Account.Name, Parts,
                           shared_bucket(Account.RatePerSecond, Capacity, Now)};
       if (RestoreAt)
-        Usage.Bucket.reset(0);
+        Usage.Bucket.reset(1); // like startEmpty()
       Kept.try_emplace(Hash, std::move(Usage));
       continue;
     }
@@ -257,6 +257,8 @@
   Usage.CountAtPreviousRound =
       std::min(Usage.CountAtPreviousRound, Usage.Count);
   Usage.Bucket.take(-1);
+  if (!KnowsLevels)
+    Usage.FloorAt = Now;
 }
 
 } // namespace tarragon::account
--- a/src/account/quotaledger.h
+++ b/src/account/quotaledger.h
@@ -55,7 +55,8 @@
                 const usage_report &Report, time_point Now) -> void;
 
   /// Releases the share of a peer that leaves.
-  auto onLeft(const address &Peer, time_point Now) -> void;
+  auto onLeft(const address &Peer, std::uint64_t Incarnation, time_point Now)
+      -> void;
 
   /// Discards the levels: requests of the others were missed.
   auto onSuspended(time_point Now) -> void;
--- a/src/account/quotareports.cpp
+++ b/src/account/quotareports.cpp
@@ -261,9 +261,10 @@
   updateKnowledge(Now);
 }
 
-auto quota_ledger::onLeft(const address &Peer, const time_point Now) -> void {
+auto quota_ledger::onLeft(const address &Peer, const std::uint64_t Incarnation,
+                          const time_point Now) -> void {
   const auto Before = shares();
-  Group.release(Peer);
+  Group.release(Peer, Incarnation);
   if (Group.hasSteps()) {
     for (auto &[Hash, Usage] : Usages)
       Usage.Bucket.refill(Before, Now);
--- a/src/account/tests/quotareports_tests.cpp
+++ b/src/account/tests/quotareports_tests.cpp
@@ -187,7 +187,9 @@
   Case.pass(500ms, false);
   BOOST_TEST(Case.Ledger.status(Case.Now).Silent == 1U);
   BOOST_TEST(Case.Ledger.status(Case.Now).Fraction == 0.5);
-  Case.Ledger.onLeft("peer:1", Case.Now);
+  Case.Ledger.onLeft("peer:1", 2, Case.Now);
+  BOOST_TEST(Case.Ledger.status(Case.Now).Fraction == 0.5);
+  Case.Ledger.onLeft("peer:1", 1, Case.Now);
   BOOST_TEST(Case.Ledger.status(Case.Now).Fraction == 1);
 }
 
--- a/src/account/tests/quotasimulation.cpp
+++ b/src/account/tests/quotasimulation.cpp
@@ -125,7 +125,8 @@
 auto quota_simulation::announceLeave(const std::size_t Instance) -> void {
   for (std::size_t Each = 0; Each < Instances.size(); ++Each)
     if (Instances[Each].Ledger && Each != Instance)
-      Instances[Each].Ledger->onLeft(addressOf(Instance), Now);
+      Instances[Each].Ledger->onLeft(addressOf(Instance),
+                                     Instances[Instance].Incarnation, Now);
 }
 
 auto quota_simulation::setRate(const std::string &Name, const double Rate,
--- a/src/fleet/fleetcodec.cpp
+++ b/src/fleet/fleetcodec.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleetcodec.h"
 
+#include "fleet/internal/usagecodec.h"
 #include "global/json.h"
 #include "membership/gossipcodec.h"
 
@@ -69,6 +70,8 @@
     Row.append(Json::Int64{Report.StartedAtMs});
     Value["leaving"].append(std::move(Row));
   }
+  if (Datagram.Usage)
+    Value["usage"] = internal::writeUsage(*Datagram.Usage);
   return writeJson(Value);
 }
 
@@ -82,7 +85,8 @@
     fleet_datagram Datagram{membership::readGossip(Value["gossip"]),
                             readStatus(Value["digest"]),
                             {},
-                            {}};
+                            {},
+                            internal::readUsage(Value["usage"])};
     for (const Json::Value &Report : Value["crashes"])
       Datagram.Crashes.push_back(readCrash(Report));
     for (const Json::Value &Row : Value["leaving"])
--- a/src/fleet/fleetcodec.h
+++ b/src/fleet/fleetcodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account/types/usagereport.h"
 #include "admission/types/crashreport.h"
 #include "fleet/types/instancestatus.h"
 #include "fleet/types/leavingtarget.h"
@@ -18,6 +19,7 @@
   instance_status Status;
   std::vector<admission::crash_report> Crashes; ///< observed by the sender
   std::vector<leaving_target> Leaving;          ///< observed by the sender
+  std::optional<account::usage_report> Usage;   ///< of client accounts
 };
 
 auto writeDatagram(const fleet_datagram &Datagram) -> std::string;
--- a/src/fleet/fleetlink.cpp
+++ b/src/fleet/fleetlink.cpp
@@ -114,6 +114,8 @@
     Handlers.OnCrash(Report);
   for (const leaving_target &Target : Datagram->Leaving)
     Handlers.OnLeaving(Target);
+  if (Datagram->Usage && Handlers.OnUsage)
+    Handlers.OnUsage(From, *Datagram->Usage);
   compareDocuments(From, Datagram->Status);
   compareMembers(From, Datagram->Status);
 }
@@ -132,6 +134,11 @@
         Members.begin(), Members.end(),
         [&](const instance &Member) { return Member.Id == Entry.first; });
   });
+  if (Handlers.OnPeerLeft)
+    for (const instance &Member : Members)
+      if (Member.State == instance_state::Leaving &&
+          Member.Id != Settings.Self.Id)
+        Handlers.OnPeerLeft(Member);
   std::vector<watcher_selection::candidate> Peers;
   for (const instance &Member : livePeers())
     Peers.push_back({Member.Id, Member.Capacity, Member.Domain});
@@ -245,6 +252,18 @@
   sendToServing({makeAnnouncement(), ownStatus(), {}, {Target}});
 }
 
+auto fleet_link::sendUsage(const account::usage_report &Report,
+                           const std::vector<address> &Others) -> void {
+  std::set<address> Receivers(Others.begin(), Others.end());
+  for (const instance &Member : serving())
+    Receivers.insert(Member.PeerAddress);
+  Receivers.erase(Settings.Self.PeerAddress);
+  const fleet_datagram Datagram{
+      makeAnnouncement(), ownStatus(), {}, {}, Report};
+  for (const address &Receiver : Receivers)
+    sendDatagram(endpointOf<asio::ip::udp>(splitAddress(Receiver)), Datagram);
+}
+
 auto fleet_link::sendToServing(const fleet_datagram &Datagram) -> void {
   for (const instance &Member : serving())
     if (Member.Id != Settings.Self.Id)
--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -49,6 +49,12 @@
     std::function<void(const admission::crash_report &)> OnCrash;
     /// Called when a peer reports a target that said that it leaves.
     std::function<void(const leaving_target &)> OnLeaving;
+    /// Called when a peer reports the usage of accounts. May be empty, like the
+    /// next one.
+    std::function<void(const instance &From, const account::usage_report &)>
+        OnUsage;
+    /// Called when a peer has announced that it leaves; may be repeated.
+    std::function<void(const instance &)> OnPeerLeft;
   };
 
   fleet_link(boost::asio::io_context &Loop, fleet_settings Settings,
@@ -101,6 +107,10 @@
   /// Sends to the instances that serve callers that \p Target leaves.
   auto sendLeaving(const leaving_target &Target) -> void;
 
+  /// Sends \p Report to the instances that serve callers and to \p Others.
+  auto sendUsage(const account::usage_report &Report,
+                 const std::vector<address> &Others) -> void;
+
   /// Answers a document request of a peer.
   auto onRequest(const std::shared_ptr<gateway::caller_session> &Session,
                  const gateway::caller_request &Request) -> void;
--- /dev/null
+++ b/src/fleet/internal/usagecodec.cpp
@@ -0,0 +1,106 @@
+#include "fleet/internal/usagecodec.h"
+
+#include <json/json.h>
+
+#include <charconv>
+#include <cmath>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace tarragon::fleet::internal {
+
+namespace {
+
+constexpr int HexBase = 16;
+constexpr std::size_t MaxHexDigits = 16;
+/// Numbers up to it are exact for every reader.
+constexpr std::uint64_t MaxCount = 1ULL << 53;
+/// Levels are written in hundredths of a token.
+constexpr double LevelScale = 100;
+constexpr double MaxLevel = 1e12;
+constexpr Json::ArrayIndex RowFields = 3;
+constexpr Json::Int64 MaxRestoreMs = 600000;
+
+auto writeHash(const std::uint64_t Hash) -> std::string {
+  std::string Text(MaxHexDigits, '0');
+  const auto End =
+      std::to_chars(Text.data(), Text.data() + Text.size(), Hash, HexBase);
+  Text.resize(static_cast<std::size_t>(End.ptr - Text.data()));
+  return Text;
+}
+
+auto readHash(const std::string &Text) -> std::optional<std::uint64_t> {
+  std::uint64_t Hash = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Hash, HexBase);
+  if (Text.empty() || Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return Hash;
+}
+
+auto readRow(const Json::Value &Row) -> std::optional<account::usage_row> {
+  if (!Row.isArray() || Row.size() < RowFields || !Row[0].isString() ||
+      !Row[1].isUInt64() || !Row[2].isNumeric())
+    return std::nullopt;
+  const auto Hash = readHash(Row[0].asString());
+  const double Level = Row[2].asDouble() / LevelScale;
+  if (!Hash || Row[1].asUInt64() > MaxCount || !(std::abs(Level) <= MaxLevel))
+    return std::nullopt;
+  return account::usage_row{*Hash, Row[1].asUInt64(), Level};
+}
+
+auto isFlag(const Json::Value &Value) -> bool {
+  return Value.isBool() && Value.asBool();
+}
+
+} // namespace
+
+auto writeUsage(const account::usage_report &Report) -> Json::Value {
+  Json::Value Value;
+  Value["sequence"] = Json::UInt64{Report.Sequence};
+  if (Report.IsServing)
+    Value["serving"] = true;
+  if (Report.NeedsLevels)
+    Value["needs_levels"] = true;
+  if (Report.IsComplete)
+    Value["complete"] = true;
+  if (Report.Fraction != 1)
+    Value["fraction"] = Report.Fraction;
+  if (Report.RestoreIn.count() > 0)
+    Value["restore_ms"] = Json::Int64{Report.RestoreIn.count()};
+  for (const account::usage_row &Row : Report.Rows) {
+    Json::Value Fields(Json::arrayValue);
+    Fields.append(writeHash(Row.Account));
+    Fields.append(Json::UInt64{Row.Count});
+    Fields.append(Json::Int64{std::llround(Row.Level * LevelScale)});
+    Value["rows"].append(std::move(Fields));
+  }
+  return Value;
+}
+
+auto readUsage(const Json::Value &Value)
+    -> std::optional<account::usage_report> {
+  if (!Value.isObject() || !Value["sequence"].isUInt64())
+    return std::nullopt;
+  account::usage_report Report;
+  Report.Sequence = Value["sequence"].asUInt64();
+  Report.IsServing = isFlag(Value["serving"]);
+  Report.NeedsLevels = isFlag(Value["needs_levels"]);
+  Report.IsComplete = isFlag(Value["complete"]);
+  const Json::Value &Fraction = Value["fraction"];
+  if (Fraction.isNumeric() && Fraction.asDouble() >= 0 &&
+      Fraction.asDouble() <= 1)
+    Report.Fraction = Fraction.asDouble();
+  const Json::Value &Restore = Value["restore_ms"];
+  if (Restore.isInt64() && Restore.asInt64() > 0 &&
+      Restore.asInt64() <= MaxRestoreMs)
+    Report.RestoreIn = milliseconds(Restore.asInt64());
+  if (Value["rows"].isArray())
+    for (const Json::Value &Fields : Value["rows"])
+      if (const auto Row = readRow(Fields))
+        Report.Rows.push_back(*Row);
+  return Report;
+}
+
+} // namespace tarragon::fleet::internal
--- a/src/fleet/tests/fleetlink_tests.cpp
+++ b/src/fleet/tests/fleetlink_tests.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <memory>
 #include <random>
+#include <set>
 #include <vector>
 
 using namespace std::chrono_literals;
@@ -48,6 +49,13 @@
               },
               [this](const tarragon::fleet::leaving_target &Target) {
                 Leaving.push_back(Target);
+              },
+              [this](const tarragon::instance &From,
+                     const tarragon::account::usage_report &Report) {
+                Usages.emplace_back(From.PeerAddress, Report.Sequence);
+              },
+              [this](const tarragon::instance &Peer) {
+                LeftPeers.insert(Peer.PeerAddress);
               }}) {
     BOOST_REQUIRE(
         Server.listen({asio::ip::make_address(Ip), std::uint16_t(Port + 1)}));
@@ -72,6 +80,8 @@
   bool CanAdopt = true; ///< peers' copies are usable
   std::vector<tarragon::admission::crash_report> Crashes; ///< reported by peers
   std::vector<tarragon::fleet::leaving_target> Leaving;   ///< reported by peers
+  std::vector<std::pair<std::string, std::uint64_t>> Usages; ///< from, sequence
+  std::set<std::string> LeftPeers;
   gateway::http_server Server;
   fleet_link Link;
 };
@@ -157,6 +167,38 @@
   }));
 }
 
+// Guards against usage that stays unknown to the instances that share a quota.
+BOOST_AUTO_TEST_CASE(usage_is_sent_to_serving_instances) {
+  fleet_case Case(4);
+  BOOST_REQUIRE(Case.runUntil([&] { return Case.allHavePeers(3); }));
+  tarragon::account::usage_report Report;
+  Report.Sequence = 5;
+  const member &Sender = *Case.Members[2];
+  Case.Members[2]->Link.sendUsage(Report, {});
+  BOOST_TEST(Case.runUntil([&] {
+    return std::all_of(
+        Case.Members.begin(), Case.Members.end(), [&](const auto &Member) {
+          return Member == Case.Members[2] ||
+                 (!Member->Usages.empty() && Member->Usages[0].second == 5 &&
+                  Member->Usages[0].first.starts_with(Sender.Ip + ":"));
+        });
+  }));
+  BOOST_TEST(Case.Members[2]->Usages.empty());
+}
+
+// Guards against a share that stays reserved for an instance which left.
+BOOST_AUTO_TEST_CASE(a_leaving_instance_is_reported) {
+  fleet_case Case(4);
+  BOOST_REQUIRE(Case.runUntil([&] { return Case.allHavePeers(3); }));
+  Case.Members[1]->Link.leave();
+  BOOST_TEST(Case.runUntil([&] {
+    return std::all_of(
+        Case.Members.begin(), Case.Members.end(), [&](const auto &Member) {
+          return Member == Case.Members[1] || Member->LeftPeers.size() == 1;
+        });
+  }));
+}
+
 // Guards against an instance that can't use its peers' copies and never watches
 // the source itself.
 BOOST_AUTO_TEST_CASE(a_stale_instance_watches_the_source_itself) {
--- /dev/null
+++ b/src/fleet/tests/usagecodec_tests.cpp
@@ -0,0 +1,90 @@
+#include "fleet/fleetcodec.h"
+#include "global/json.h"
+
+#include <boost/test/unit_test.hpp>
+#include <json/json.h>
+
+using namespace std::chrono_literals;
+using namespace tarragon;
+using namespace tarragon::fleet;
+
+namespace {
+
+auto datagram() -> fleet_datagram {
+  fleet_datagram Datagram;
+  Datagram.Gossip.From.Id = "a";
+  account::usage_report Report;
+  Report.Sequence = 7;
+  Report.IsServing = true;
+  Report.NeedsLevels = true;
+  Report.IsComplete = true;
+  Report.Fraction = 0.625;
+  Report.RestoreIn = 4000ms;
+  Report.Rows = {{0xffffffffffffffffULL, 12, -3.25}, {1, 0, 20}};
+  Datagram.Usage = Report;
+  return Datagram;
+}
+
+/// Returns the report of \p Usage within an otherwise valid datagram.
+auto readBack(const std::string &Usage) -> std::optional<fleet_datagram> {
+  fleet_datagram Datagram = datagram();
+  Datagram.Usage.reset();
+  std::string Text = writeDatagram(Datagram);
+  Text.back() = ',';
+  return readDatagram(Text + "\"usage\":" + Usage + "}");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(usage_codec)
+
+// Guards against hashes above 2^53 that lose digits.
+BOOST_AUTO_TEST_CASE(a_usage_report_is_read_as_written) {
+  const auto Read = readDatagram(writeDatagram(datagram()));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_REQUIRE(Read->Usage.has_value());
+  BOOST_TEST((*Read->Usage == *datagram().Usage));
+}
+
+// Guards against a version of the program that needs the field.
+BOOST_AUTO_TEST_CASE(a_datagram_without_usage_is_valid) {
+  fleet_datagram Datagram = datagram();
+  Datagram.Usage.reset();
+  const std::string Text = writeDatagram(Datagram);
+  BOOST_TEST(Text.find("usage") == std::string::npos);
+  const auto Read = readDatagram(Text);
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(!Read->Usage.has_value());
+}
+
+// Guards against a row that takes the others or the datagram with it.
+BOOST_AUTO_TEST_CASE(an_invalid_row_is_skipped) {
+  const auto Read = readBack(
+      R"({"sequence":1,"rows":[["1f",3,100],["zz",3,1],["",3,1],[5,3,1],
+["2",-1,1],["2",1.5,1],["2",9007199254740994,1],["2",1,"x"],["2",1],
+["11111111111111111",1,1],["2",1,1e300],7,null,{"a":1},["2f",4,-250]]})");
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_REQUIRE(Read->Usage.has_value());
+  const std::vector<account::usage_row> Expected{{0x1f, 3, 1}, {0x2f, 4, -2.5}};
+  BOOST_TEST((Read->Usage->Rows == Expected));
+}
+
+// Guards against a report whose fields are of other types.
+BOOST_AUTO_TEST_CASE(an_invalid_report_is_ignored_without_the_datagram) {
+  for (const std::string Usage :
+       {"7", "null", "[]", "\"x\"", "{}", R"({"sequence":"a"})",
+        R"({"sequence":-1,"rows":[]})"}) {
+    const auto Read = readBack(Usage);
+    BOOST_REQUIRE(Read.has_value());
+    BOOST_TEST(!Read->Usage.has_value());
+  }
+  const auto Read = readBack(
+      R"({"sequence":2,"rows":{},"fraction":7,"restore_ms":-4,"serving":"x",
+"complete":1})");
+  BOOST_REQUIRE(Read.has_value());
+  account::usage_report Expected;
+  Expected.Sequence = 2;
+  BOOST_TEST((Read->Usage == Expected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/activerequest.h
+++ b/src/gateway/activerequest.h
@@ -38,6 +38,11 @@
   /// Answers the request now, as the instance stops.
   auto endNow() -> void;
 
+  /// Returns the account that the request belongs to, or null.
+  auto account() const -> const route::account * { return Origin.Account; }
+  /// Returns whether no attempt can have run.
+  auto isProvenNotRun() const -> bool;
+
 private:
   struct exchange {
     std::shared_ptr<http_connection> Connection;
@@ -60,7 +65,6 @@
   auto onCallerDisconnected() -> void;
   auto schedule() -> void;
   auto finish(placement::finish_plan Finish) -> void;
-  auto isProvenNotRun() const -> bool;
   auto makeAnswer(const placement::finish_plan &Finish) -> caller_answer;
   auto mergedAnswer() -> caller_answer;
   auto forwardedAnswer(const exchange_answer &Answer) const -> caller_answer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "gateway/activerequest.h"
 #include "gateway/callersession.h"
 #include "gateway/internal/answerwriter.h"
+#include "gateway/quotagate.h"
 #include "global/boottime.h"
 #include "global/log.h"
 
@@ -77,6 +78,7 @@
   BudgetInstancesAt = std::chrono::steady_clock::now();
   Targets.setConnectionLimits({}, Settings.Retries.Instances);
   UsedCoresReadAt = std::chrono::steady_clock::now();
+  setQuota(Settings.Quota);
   sweep();
 }
 
@@ -99,6 +101,7 @@
   }
   setAccounts(Routes);
   Table = std::make_shared<route::route_table>(std::move(Routes));
+  updateQuotaAccounts();
   log::write(log::level::Info, log::part::Config, "routes in force",
              {{"version", std::to_string(version())}});
   warmPools();
@@ -196,6 +199,7 @@
   checkSuspension();
   const auto Now = std::chrono::steady_clock::now();
   publishCrashes(Now);
+  reportUsage(Now);
   for (auto &[Id, Pool] : Pools)
     Pool->sweep(Now);
   if (Table && !Warmed && Now >= WarmNotBefore &&
@@ -312,6 +316,8 @@
       admission::poison_verdict::Held)
     return refuse(Session, Request,
                   {503, "held: it crashed targets", PoisonHold});
+  if (!admitByQuota(Session, Request, Account, Now))
+    return;
   const placement::plan_settings Plan = makePlanSettings(*Route, Request);
   auto Active = std::make_shared<active_request>(
       *this,
@@ -345,6 +351,7 @@
 }
 
 auto gateway::release(const std::shared_ptr<active_request> &Request) -> void {
+  refundQuota(*Request);
   Active.erase(Request);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "account/types/quotapeers.h"
 #include "admission/crashgroups.h"
 #include "admission/poisontracker.h"
 #include "gateway/connectionpool.h"
@@ -27,6 +28,8 @@
 namespace tarragon::account {
 
 class account_table;
+class quota_ledger;
+struct usage_report;
 
 } // namespace tarragon::account
 
@@ -34,6 +37,7 @@
 
 class active_request;
 class caller_session;
+class quota_gate;
 
 /// Routes callers' requests, runs the plan of each against the targets and
 /// sends the answer. Not thread-safe: everything runs on one event loop.
@@ -44,6 +48,9 @@
   using leaving_handler =
       std::function<void(const std::string &Target, std::int64_t StartedAtMs)>;
 
+  using usage_handler = std::function<void(const account::usage_report &Report,
+                                           const std::vector<address> &Others)>;
+
   gateway(boost::asio::io_context &Loop, gateway_settings Settings,
           report::metrics_registry &Metrics);
   ~gateway();
@@ -156,6 +163,21 @@
   /// Sets the limits on extra attempts, which are shared by all instances.
   auto setRetryLimits(const placement::retry_limits &Retries) -> void;
 
+  /// Sets the limits of the quotas; without a value, there are none.
+  auto setQuota(const std::optional<account::quota_limits> &Limits) -> void;
+
+  /// Sets the instances that share the quotas.
+  auto setQuotaPeers(const account::quota_peers &Peers) -> void;
+
+  /// Sets the handler that sends reports of usage to the serving instances and
+  /// to others.
+  auto setUsageHandler(usage_handler NewHandler) -> void {
+    UsageHandler = std::move(NewHandler);
+  }
+
+  /// Returns the ledger of the quotas, or null if there are none.
+  auto quotas() -> account::quota_ledger *;
+
   /// Removes an active request that has ended.
   auto release(const std::shared_ptr<active_request> &Request) -> void;
 
@@ -178,6 +200,15 @@
                     const route::account *&Account) -> bool;
   auto refuseKey(const session_pointer &Session, const caller_request &Request,
                  const route::route &Route, std::string_view Cause) -> void;
+  auto updateQuotaAccounts() -> void;
+  /// Takes a token of \p Account; refuses the request and returns false if none
+  /// is left.
+  auto admitByQuota(const session_pointer &Session,
+                    const caller_request &Request,
+                    const route::account *Account, time_point Now) -> bool;
+  /// Returns the token of a request that has not run.
+  auto refundQuota(const active_request &Request) -> void;
+  auto reportUsage(time_point Now) -> void;
   auto requestTimeout(const caller_request &Request,
                       const route::route &Route) const -> milliseconds;
   auto makePlanSettings(const route::route &Route,
@@ -208,6 +239,9 @@
   std::map<std::string, placement::latency_model> Latencies; ///< by route
   std::mt19937_64 Random;
   log::line_limiter RefusedKeyLines;
+  std::unique_ptr<quota_gate> Quotas; ///< null: there are none
+  account::quota_peers QuotaPeers;
+  usage_handler UsageHandler;
   crash_handler CrashHandler;
   leaving_handler LeavingHandler;
   std::unordered_map<std::string, std::unique_ptr<connection_pool>> Pools;
--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -2,6 +2,7 @@
 // suspensions of the machine and the end of the instance.
 #include "gateway/gateway.h"
 
+#include "account/quotaledger.h"
 #include "gateway/activerequest.h"
 #include "gateway/internal/answerwriter.h"
 #include "global/boottime.h"
@@ -94,6 +95,8 @@
   log::write(log::level::Warning, log::part::Entry, "the machine was suspended",
              {{"ms", std::to_string(Span.count())},
               {"at_hand", std::to_string(Active.size())}});
+  if (account::quota_ledger *Ledger = quotas())
+    Ledger->onSuspended(std::chrono::steady_clock::now());
   for (const std::shared_ptr<active_request> &Request : activeRequests())
     Request->shorten(Span);
 }
--- /dev/null
+++ b/src/gateway/gatewayquota.cpp
@@ -0,0 +1,90 @@
+// Quotas of client accounts: admission, refund and exchange of the usage.
+#include "gateway/activerequest.h"
+#include "gateway/callersession.h"
+#include "gateway/gateway.h"
+#include "gateway/internal/answerwriter.h"
+#include "gateway/quotagate.h"
+#include "global/log.h"
+
+namespace tarragon::gateway {
+
+namespace {
+
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr std::string_view OverQuota = "over quota";
+
+} // namespace
+
+auto gateway::setQuota(const std::optional<account::quota_limits> &Limits)
+    -> void {
+  if (!Limits) {
+    Quotas.reset();
+    return;
+  }
+  if (Quotas && Quotas->limits() == *Limits)
+    return;
+  Quotas = std::make_unique<quota_gate>(*Limits, Metrics);
+  Quotas->ledger().setInstances(QuotaPeers, std::chrono::steady_clock::now());
+  updateQuotaAccounts();
+}
+
+auto gateway::updateQuotaAccounts() -> void {
+  static const std::vector<route::account> None;
+  if (Quotas)
+    Quotas->setAccounts(accounts() ? *accounts() : None,
+                        std::chrono::steady_clock::now());
+}
+
+auto gateway::setQuotaPeers(const account::quota_peers &Peers) -> void {
+  QuotaPeers = Peers;
+  if (Quotas)
+    Quotas->ledger().setInstances(Peers, std::chrono::steady_clock::now());
+}
+
+auto gateway::quotas() -> account::quota_ledger * {
+  return Quotas ? &Quotas->ledger() : nullptr;
+}
+
+auto gateway::reportUsage(const time_point Now) -> void {
+  if (!Quotas)
+    return;
+  const auto Report = Quotas->ledger().makeReport(Now);
+  if (Report && UsageHandler)
+    UsageHandler(*Report, Quotas->ledger().guests());
+}
+
+auto gateway::admitByQuota(const session_pointer &Session,
+                           const caller_request &Request,
+                           const route::account *Account, const time_point Now)
+    -> bool {
+  if (!Quotas || !Account || !(Account->RatePerSecond > 0))
+    return true;
+  const auto Decision = Quotas->tryAcquire(*Account, Now);
+  if (Decision.IsAdmitted)
+    return true;
+  const milliseconds RetryAfter = jittered(Decision.RetryAfter);
+  Metrics.counter("tarragon_refused_total", {{"why", std::string(OverQuota)}})
+      .add();
+  if (Quotas->lines().tryAcquire(Now))
+    log::write(
+        log::level::Info, log::part::Admission, "account over its quota",
+        {{"request", fieldOrEmpty(Request.Headers, Settings.Names.RequestId)},
+         {"account", Account->Name},
+         {"version", std::to_string(version())},
+         {"retry_after_ms", std::to_string(RetryAfter.count())},
+         {"unlogged", std::to_string(Quotas->lines().takeRejected())}});
+  caller_answer Answer;
+  Answer.Status = StatusTooManyRequests;
+  Answer.Headers.push_back({"Retry-After", internal::secondsText(RetryAfter)});
+  Answer.Body = std::string(OverQuota) + "\n";
+  Session->answer(std::move(Answer));
+  return false;
+}
+
+auto gateway::refundQuota(const active_request &Request) -> void {
+  if (Quotas && Request.account() && Request.isProvenNotRun())
+    Quotas->ledger().refund(Request.account()->Name,
+                            std::chrono::steady_clock::now());
+}
+
+} // namespace tarragon::gateway
--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -1,5 +1,6 @@
 #include "gateway/statusview.h"
 
+#include "account/quotaledger.h"
 #include "gateway/gateway.h"
 
 #include <json/json.h>
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr std::size_t MaxCrashes = 32;
+constexpr std::size_t MaxQuotas = 100;
 constexpr double Tail = 0.99;
 constexpr double Decimals = 100;
 
@@ -80,6 +82,33 @@
   return Rows;
 }
 
+/// Returns the accounts with the most refusals.
+auto viewQuotas(account::quota_ledger &Ledger, const time_point Now)
+    -> Json::Value {
+  account::quota_status Status = Ledger.status(Now);
+  Json::Value Value;
+  Value["heard"] = Json::UInt64{Status.Heard};
+  Value["silent"] = Json::UInt64{Status.Silent};
+  Value["fraction"] = rounded(Status.Fraction);
+  Value["knows_levels"] = Status.KnowsLevels;
+  Value["accounts"] = Json::Value(Json::arrayValue);
+  std::stable_sort(Status.Rows.begin(), Status.Rows.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.Refused > Right.Refused;
+                   });
+  Status.Rows.resize(std::min(MaxQuotas, Status.Rows.size()));
+  for (const account::quota_status::row &Each : Status.Rows) {
+    Json::Value Row;
+    Row["account"] = Each.Account;
+    Row["rate"] = rounded(Each.Rate);
+    Row["level"] = rounded(Each.Level);
+    Row["admitted"] = Json::UInt64{Each.Admitted};
+    Row["refused"] = Json::UInt64{Each.Refused};
+    Value["accounts"].append(std::move(Row));
+  }
+  return Value;
+}
+
 auto routesTo(const route::route &Route, const std::string &Service) -> bool {
   const bool IsShard = std::find(Route.Shards.begin(), Route.Shards.end(),
                                  Service) != Route.Shards.end();
@@ -116,6 +145,8 @@
       Value["budgets"].append(viewBudget(Gateway, Entry->Service, Now));
     Service = Entry->Service;
   }
+  if (account::quota_ledger *Ledger = Gateway.quotas())
+    Value["quotas"] = viewQuotas(*Ledger, Now);
   Value["crashes"] = viewCrashes(Gateway, Now);
   return Value;
 }
--- a/src/gateway/types/gatewaysettings.h
+++ b/src/gateway/types/gatewaysettings.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "account/types/quotalimits.h"
 #include "gateway/types/headernames.h"
 #include "placement/retrybudget.h"
 
+#include <optional>
 #include <string>
 
 namespace tarragon::gateway {
@@ -12,6 +14,8 @@
   header_names Names;
   std::string FailureDomain;
   placement::retry_limits Retries;
+  /// Set where client accounts have quotas.
+  std::optional<account::quota_limits> Quota;
 };
 
 } // namespace tarragon::gateway
