Refuse scattered queries whose work ahead takes their time

While more queries arrive than some shards serve, all parts queue and nearly all answers are late. query_admission measures for each service the time to an answer for each round of its slots, and refuses a query before anything is sent if the probability that its minimum of parts is answered within the objective falls under 0.9 of that with nothing ahead. Parts that may be missing are left out at the services with most work ahead. Inactive unless more than two of the last twenty queries missed their objective; a query is admitted if none other is open.

A refused query no longer counts as a request in the retry budgets, as it sends nothing.

--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -376,6 +376,9 @@
   Metrics.summary("tarragon_request_seconds", {{"kind", Kind}})
       .observe(std::chrono::duration_cast<microseconds>(
           Now - Origin.Request.ReceivedAt));
+  if (!Plan.admission().IsAdmitted)
+    return Gateway.queryRefusals().record(Origin.Route->Name, Id,
+                                          Plan.admission(), Now);
   if (Finish.Verdict == plan_verdict::Answer && Plan.isComplete())
     return;
   log::write(log::level::Info, log::part::Query,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,8 +64,8 @@
     : Loop(NewLoop), Settings(std::move(NewSettings)), Metrics(NewMetrics),
       Memory(std::make_shared<receive_budget>(MaxAnswerBytes)),
       Targets(Settings.FailureDomain),
-      Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
-      Random(std::random_device()()),
+      Budgets(std::chrono::steady_clock::now()), QueryRefusals(NewMetrics),
+      Poison(PoisonHold), Random(std::random_device()()),
       ClockOffset(bootTime() - std::chrono::steady_clock::now()),
       SweepTimer(NewLoop),
       WarmNotBefore(std::chrono::steady_clock::now() + PeerDiscoveryTime) {
@@ -234,6 +234,7 @@
   Plan.MinParts = Route.scattered() ? minParts(Route) : 1;
   Plan.Repeatability = Route.Repeatability;
   Plan.MaxAttempts = Route.MaxAttempts;
+  Plan.Priority = Route.Priority;
   Plan.Deadline =
       Request.ReceivedAt + Allowed - std::min(MaxDeliveryTime, Allowed / 10);
   Plan.EarlyAt = Request.ReceivedAt + Route.Objective -
@@ -308,7 +309,8 @@
   const placement::plan_settings Plan = makePlanSettings(*Route, Request);
   auto Active = std::make_shared<active_request>(
       *this, active_request::origin{Session, std::move(Request), Table, Route},
-      placement::request_plan({Targets, Budgets, latencies(*Route)}, Plan),
+      placement::request_plan({Targets, Budgets, latencies(*Route), &Admission},
+                              Plan),
       Plan.Deadline);
   this->Active.insert(Active);
   Active->begin();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,10 +3,12 @@
 #include "admission/crashgroups.h"
 #include "admission/poisontracker.h"
 #include "gateway/connectionpool.h"
+#include "gateway/queryrefusals.h"
 #include "gateway/types/callerrequest.h"
 #include "gateway/types/gatewaysettings.h"
 #include "gateway/types/servingstate.h"
 #include "placement/latencymodel.h"
+#include "placement/queryadmission.h"
 #include "placement/retrybudgettable.h"
 #include "placement/targetset.h"
 #include "placement/types/plansettings.h"
@@ -97,6 +99,8 @@
   auto loop() -> boost::asio::io_context & { return Loop; }
   auto settings() const -> const gateway_settings & { return Settings; }
   auto budgets() -> placement::retry_budget_table & { return Budgets; }
+  auto admission() -> placement::query_admission & { return Admission; }
+  auto queryRefusals() -> query_refusals & { return QueryRefusals; }
   auto metrics() -> report::metrics_registry & { return Metrics; }
   auto poison() -> admission::poison_tracker & { return Poison; }
   auto memory() const -> const receive_budget & { return *Memory; }
@@ -180,6 +184,8 @@
   std::shared_ptr<receive_budget> Memory;
   placement::target_set Targets;
   placement::retry_budget_table Budgets;
+  placement::query_admission Admission;
+  query_refusals QueryRefusals;
   admission::crash_groups Crashes;
   admission::poison_tracker Poison;
   route::weighted_round_robin RoundRobin;
--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -89,6 +89,16 @@
                                 });
 }
 
+auto viewAdmission(gateway &Gateway, const time_point Now) -> Json::Value {
+  const placement::query_admission &Admission = Gateway.admission();
+  Json::Value Row;
+  Row["active"] = Admission.isActive(Now);
+  Row["missed_share"] = rounded(Admission.missedShare(Now));
+  Row["open_queries"] = Admission.openQueries();
+  Row["refused"] = Json::UInt64{Gateway.queryRefusals().count()};
+  return Row;
+}
+
 /// Returns the median latency of the first route to \p Service. The health
 /// states of the service's targets are relative to it.
 auto medianLatency(gateway &Gateway, const std::string &Service)
@@ -116,6 +126,7 @@
       Value["budgets"].append(viewBudget(Gateway, Entry->Service, Now));
     Service = Entry->Service;
   }
+  Value["admission"] = viewAdmission(Gateway, Now);
   Value["crashes"] = viewCrashes(Gateway, Now);
   return Value;
 }
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -34,20 +34,21 @@
 request_plan::request_plan(context NewContext, plan_settings NewSettings)
     : Context(NewContext), Settings(std::move(NewSettings)) {
   for (const std::string &Service : Settings.Services)
-    Parts.push_back({Service, {}, {}, {}, false, false, false});
+    Parts.push_back({Service, {}, {}, {}, false, false, false, {}});
 }
 
 auto request_plan::start(const time_point Now) -> plan_actions {
   plan_actions Actions;
   std::size_t DownParts = 0;
-  for (const part &Part : Parts) {
-    Context.Budgets.budget(Part.Service).addRequest(Now);
+  for (const part &Part : Parts)
     DownParts += isServiceDown(Part, Now) ? 1 : 0;
-  }
-  if (Parts.size() - DownParts < Settings.MinParts) {
+  if (Parts.size() - DownParts < Settings.MinParts ||
+      !tryAdmit(DownParts, Now)) {
     finish(plan_verdict::NotRun, Now, Actions);
     return Actions;
   }
+  for (const part &Part : Parts)
+    Context.Budgets.budget(Part.Service).addRequest(Now);
   skipLateParts(DownParts, Now);
   for (std::size_t Index = 0; Index < Parts.size(); ++Index)
     if (!Parts[Index].Skipped)
@@ -67,7 +68,11 @@
   for (part &Part : Parts) {
     const microseconds Latency = Context.Targets.expectedLatency(
         Part.Service, Context.Latencies.median(), Now);
-    if (Latency > TimeLeft && !isServiceDown(Part, Now))
+    const bool IsLate =
+        Latency > TimeLeft ||
+        std::find(Admission.Unlikely.begin(), Admission.Unlikely.end(),
+                  Part.Service) != Admission.Unlikely.end();
+    if (IsLate && !isServiceDown(Part, Now))
       LateParts.emplace_back(Latency, &Part);
   }
   std::sort(LateParts.rbegin(), LateParts.rend());
@@ -93,6 +98,7 @@
 auto request_plan::sendFirst(const std::size_t Index, const time_point Now,
                              plan_actions &Actions) -> void {
   part &Part = Parts[Index];
+  openPart(Part, Now);
   const auto *Target = Context.Targets.choose(Part.Service, Part.Tried,
                                               Context.Latencies.median(), Now,
                                               refusalCost(Part, Now));
@@ -219,6 +225,7 @@
   plan_actions Actions;
   for (std::size_t Index = 0; Index < Parts.size(); ++Index)
     cancelInFlight(Index, Now, Actions);
+  endAdmission(plan_verdict::Answer, Now);
   Finished = true;
   return Actions;
 }
@@ -238,6 +245,7 @@
 auto request_plan::cancelInFlight(const std::size_t Index, const time_point Now,
                                   plan_actions &Actions) -> void {
   part &Part = Parts[Index];
+  closePart(Part, Now);
   for (std::size_t Number = 0; Number < Part.Attempts.size(); ++Number) {
     attempt &Attempt = Part.Attempts[Number];
     if (Attempt.End)
@@ -347,6 +355,7 @@
                           plan_actions &Actions) -> void {
   for (std::size_t Index = 0; Index < Parts.size(); ++Index)
     cancelInFlight(Index, Now, Actions);
+  endAdmission(Verdict, Now);
   Finished = true;
   finish_plan Finish{Verdict, Failure.value_or(attempt_key{}), {}};
   if (Verdict != plan_verdict::Answer)
@@ -354,15 +363,6 @@
   Actions.push_back(Finish);
 }
 
-auto request_plan::retryDelay(const time_point Now) const -> milliseconds {
-  milliseconds MaxDelay{0};
-  for (const part &Part : Parts)
-    if (!Part.Answered)
-      MaxDelay =
-          std::max(MaxDelay, Context.Targets.retryDelay(Part.Service, Now));
-  return MaxDelay;
-}
-
 auto request_plan::scheduleWake(const time_point Now) -> void {
   Wake = Settings.Deadline;
   if (Now < Settings.EarlyAt)
@@ -377,16 +377,4 @@
   }
 }
 
-auto request_plan::isComplete() const -> bool {
-  return std::all_of(Parts.begin(), Parts.end(),
-                     [](const part &Part) { return Part.Answered; });
-}
-
-auto request_plan::extraAttempts() const -> std::size_t {
-  std::size_t Extra = 0;
-  for (const part &Part : Parts)
-    Extra += Part.Attempts.empty() ? 0 : Part.Attempts.size() - 1;
-  return Extra;
-}
-
 } // namespace tarragon::placement
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "placement/types/admissiondecision.h"
+#include "placement/types/admissionticket.h"
 #include "placement/types/attemptend.h"
 #include "placement/types/planaction.h"
 #include "placement/types/plansettings.h"
@@ -11,6 +13,7 @@
 namespace tarragon::placement {
 
 class latency_model;
+class query_admission;
 class retry_budget_table;
 class target_set;
 
@@ -32,7 +35,8 @@
   struct context {
     target_set &Targets;
     retry_budget_table &Budgets;
-    latency_model &Latencies; ///< of this kind of request
+    latency_model &Latencies;             ///< of this kind of request
+    query_admission *Admission = nullptr; ///< null: all queries are admitted
   };
 
   request_plan(context Context, plan_settings Settings);
@@ -68,6 +72,9 @@
   /// Returns whether every part was answered.
   auto isComplete() const -> bool;
 
+  /// Returns the decision on the admission of the query.
+  auto admission() const -> const admission_decision & { return Admission; }
+
   /// Returns the number of attempts beyond the first of each part.
   auto extraAttempts() const -> std::size_t;
 
@@ -85,6 +92,8 @@
     bool Answered = false;
     bool Waiting = false; ///< no target is available
     bool Skipped = false; ///< not sent, as it would be answered too late
+    /// While the part is open, if admission is decided.
+    std::optional<admission_ticket> Ticket;
   };
   struct part_counts {
     std::size_t Answered = 0;
@@ -92,6 +101,11 @@
     std::size_t Unrecoverable = 0; ///< open, but all targets are unresponsive
   };
 
+  /// Refuses the query if too few parts are likely to be answered in time.
+  auto tryAdmit(std::size_t DownParts, time_point Now) -> bool;
+  auto openPart(part &Part, time_point Now) -> void;
+  auto closePart(part &Part, time_point Now) -> void;
+  auto endAdmission(plan_verdict Verdict, time_point Now) -> void;
   auto skipLateParts(std::size_t DownParts, time_point Now) -> void;
   auto sendSkipped(time_point Now, plan_actions &Actions) -> bool;
   auto sendFirst(std::size_t Index, time_point Now, plan_actions &Actions)
@@ -124,6 +138,8 @@
   std::optional<attempt_key> Failure;
   time_point Wake;
   time_point LastOutageCheck;
+  admission_decision Admission;
+  bool CountsAsOpen = false; ///< as an open query of the admission
   bool Finished = false;
 };
 
--- a/src/placement/tests/virtualtier.cpp
+++ b/src/placement/tests/virtualtier.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace tarragon::placement {
 
@@ -43,21 +44,12 @@
   return static_cast<double>(InTime) / std::max(1, All);
 }
 
-virtual_tier::virtual_tier(const std::size_t Shards, const double BudgetRatio,
-                           const std::uint64_t Seed, const int InstanceCount,
+virtual_tier::virtual_tier(const std::size_t Shards,
+                           const double NewBudgetRatio,
+                           const std::uint64_t Seed, const int NewInstanceCount,
                            const int Slots)
-    : Random(Seed) {
-  const time_point StartedAt =
-      Now + std::chrono::duration_cast<time_point::duration>(
-                std::chrono::duration<double>(BudgetStartS));
-  for (int Number = 0; Number < InstanceCount; ++Number) {
-    Instances.push_back(
-        std::make_unique<instance>(domainOf(Number % DomainCount), StartedAt));
-    instance &Instance = *Instances.back();
-    Instance.Budgets.setLimits(
-        {BudgetRatio, 50, milliseconds(10000), InstanceCount});
-    Instance.Targets.setConnectionLimits({}, InstanceCount);
-  }
+    : Random(Seed), BudgetRatio(NewBudgetRatio),
+      InstanceCount(NewInstanceCount) {
   for (std::size_t Shard = 0; Shard < Shards; ++Shard)
     for (std::size_t Replica = 0; Replica < 3; ++Replica) {
       route::target_entry Entry;
@@ -66,10 +58,30 @@
       Entry.StartedAtMs = 1;
       Entry.Slots = Slots;
       Entry.FailureDomain = domainOf(static_cast<int>(Replica));
-      for (const auto &Instance : Instances)
-        Instance->Targets.apply(Instance->Targets.registry().put(Entry), Now);
       SimulatedTargets[Entry.Id].Behavior.Slots = Slots;
+      Entries.push_back(std::move(Entry));
     }
+  addInstances(Now + std::chrono::duration_cast<time_point::duration>(
+                         std::chrono::duration<double>(BudgetStartS)));
+}
+
+auto virtual_tier::addInstances(const time_point StartedAt) -> void {
+  for (int Number = 0; Number < InstanceCount; ++Number) {
+    Instances.push_back(
+        std::make_unique<instance>(domainOf(Number % DomainCount), StartedAt));
+    instance &Instance = *Instances.back();
+    Instance.Budgets.setLimits(
+        {BudgetRatio, 50, milliseconds(10000), InstanceCount});
+    Instance.Targets.setConnectionLimits({}, InstanceCount);
+    for (const route::target_entry &Entry : Entries)
+      Instance.Targets.apply(Instance.Targets.registry().put(Entry), Now);
+  }
+}
+
+auto virtual_tier::restartInstances() -> void {
+  std::move(Instances.begin(), Instances.end(), std::back_inserter(Replaced));
+  Instances.clear();
+  addInstances(Now);
 }
 
 auto virtual_tier::targetOf(const std::size_t Shard, const std::size_t Replica)
@@ -89,9 +101,16 @@
 
 auto virtual_tier::run(const load &NewLoad) -> outcome {
   Load = NewLoad;
-  for (int Number = 0; Number < Load.Requests; ++Number)
-    schedule(Start + Load.ArrivalInterval * Number,
-             [this] { arrive(Now, Load.CallerRetries); });
+  std::uniform_real_distribution<> Share(0, 1);
+  for (int Number = 0; Number < Load.Requests; ++Number) {
+    microseconds Time = Load.ArrivalInterval * Number;
+    if (Time >= Load.GatherFrom && Time < Load.GatherUntil)
+      Time = Load.GatherUntil;
+    const bool Repeats =
+        Load.CallerRetryShare >= 1 || Share(Random) < Load.CallerRetryShare;
+    const int Retries = Repeats ? Load.CallerRetries : 0;
+    schedule(Start + Time, [this, Retries] { arrive(Now, Retries); });
+  }
   while (!Events.empty()) {
     const event Event = Events.top();
     Events.pop();
@@ -117,14 +136,27 @@
   request &Request = Requests[Id];
   Request.Instance = &Instance;
   Request.ReceivedAt = FirstSentAt;
+  Request.ArrivedAt = Now;
   Request.RetriesLeft = RetriesLeft;
   Request.Plan = std::make_unique<request_plan>(
       request_plan::context{Instance.Targets, Instance.Budgets,
-                            Instance.Latencies},
+                            Instance.Latencies,
+                            Load.HasAdmission ? &Instance.Admission : nullptr},
       Settings);
   perform(Id, Request.Plan->start(Now));
 }
 
+auto virtual_tier::count(const request &Request, const plan_verdict Verdict)
+    -> void {
+  ++Outcome.Arrivals;
+  if (Verdict == plan_verdict::Answer)
+    ++(Now - Request.ArrivedAt <= Load.Objective ? Outcome.InTimeArrivals
+                                                 : Outcome.LateArrivals);
+  else
+    ++(Verdict == plan_verdict::NotRun ? Outcome.RefusedArrivals
+                                       : Outcome.FailedArrivals);
+}
+
 auto virtual_tier::forEachTarget(
     const std::function<void(std::size_t, std::size_t, target &)> &Step)
     -> void {
@@ -150,11 +182,12 @@
       Request.Cancelled[Cancel->Key] = true;
     } else if (const auto *Finish = std::get_if<finish_plan>(&Action)) {
       Outcome.Extra += Request.Plan->extraAttempts();
+      count(Request, Finish->Verdict);
       const bool IsComplete = Request.Answered == Load.Shards;
       if (Finish->Verdict != plan_verdict::Answer && Request.RetriesLeft > 0) {
-        const auto Pause = Finish->Verdict == plan_verdict::NotRun
-                               ? Finish->RetryAfter
-                               : milliseconds(0);
+        const bool Waits =
+            Finish->Verdict == plan_verdict::NotRun && !Load.IgnoresRetryAfter;
+        const auto Pause = Waits ? Finish->RetryAfter : milliseconds(0);
         schedule(Now + 2 * OneWay + Pause,
                  [this, FirstSentAt = Request.ReceivedAt,
                   RetriesLeft = Request.RetriesLeft - 1] {
--- a/src/placement/tests/virtualtier.h
+++ b/src/placement/tests/virtualtier.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "placement/latencymodel.h"
+#include "placement/queryadmission.h"
 #include "placement/requestplan.h"
 #include "placement/retrybudgettable.h"
 #include "placement/targetset.h"
@@ -45,6 +46,14 @@
     /// A caller whose request isn't answered sends it again at once, this
     /// often.
     int CallerRetries = 0;
+    /// The share of the callers that send again.
+    double CallerRetryShare = 1;
+    /// Whether they do so at once also if they were told to wait.
+    bool IgnoresRetryAfter = false;
+    bool HasAdmission = true; ///< of whole queries
+    /// Requests of this span before its end arrive together at its end.
+    milliseconds GatherFrom{0};
+    milliseconds GatherUntil{0};
   };
 
   struct outcome {
@@ -56,6 +65,12 @@
     std::size_t Sent = 0;
     std::size_t SentOwnDomain = 0;       ///< to the instance's failure domain
     std::vector<microseconds> Latencies; ///< of all answers
+    /// Counted for each time that a caller sends its request.
+    int Arrivals = 0;
+    int InTimeArrivals = 0;  ///< answered within the objective
+    int LateArrivals = 0;    ///< answered later
+    int FailedArrivals = 0;  ///< ended without an answer, may have run
+    int RefusedArrivals = 0; ///< not run
 
     /// Returns the latency quantile \p Share; sorts the latencies.
     auto quantile(double Share) -> microseconds;
@@ -78,6 +93,9 @@
   /// Runs \p Step at \p Time after the start of the run.
   auto at(milliseconds Time, std::function<void()> Step) -> void;
 
+  /// Replaces all instances by new ones, which have measured nothing yet.
+  auto restartInstances() -> void;
+
   /// Sends all requests of \p Load and returns once every event is processed.
   auto run(const load &Load) -> outcome;
 
@@ -99,11 +117,13 @@
     target_set Targets;
     retry_budget_table Budgets;
     latency_model Latencies{milliseconds(66)};
+    query_admission Admission;
   };
   struct request {
     instance *Instance = nullptr;
     std::unique_ptr<request_plan> Plan;
-    time_point ReceivedAt;
+    time_point ReceivedAt; ///< when the caller sent it first
+    time_point ArrivedAt;
     std::size_t Missing = 0;
     std::size_t Answered = 0;
     std::map<attempt_key, std::string> Targets;
@@ -120,7 +140,9 @@
     }
   };
 
+  auto addInstances(time_point StartedAt) -> void;
   auto schedule(time_point At, std::function<void()> Step) -> void;
+  auto count(const request &Request, plan_verdict Verdict) -> void;
   auto perform(std::uint64_t Number, const plan_actions &Actions) -> void;
   auto receive(const std::string &Target, job Job) -> void;
   auto startRun(const std::string &Target, job Job) -> void;
@@ -130,9 +152,13 @@
   auto arrive(time_point FirstSentAt, int RetriesLeft) -> void;
 
   std::mt19937_64 Random;
+  double BudgetRatio;
+  int InstanceCount;
   time_point Now{std::chrono::hours(1)};
   time_point Start = Now;
   std::vector<std::unique_ptr<instance>> Instances;
+  std::vector<std::unique_ptr<instance>> Replaced;
+  std::vector<route::target_entry> Entries;
   std::map<std::string, simulated_target> SimulatedTargets;
   std::map<std::uint64_t, request> Requests;
   std::priority_queue<event> Events;
--- a/src/placement/types/plansettings.h
+++ b/src/placement/types/plansettings.h
@@ -17,6 +17,7 @@
   int MaxAttempts = 1; ///< maximum for each part
   time_point EarlyAt;  ///< from then on MinParts answered parts suffice
   time_point Deadline; ///< for the final answer
+  int Priority = 0;    ///< 0 is the highest
 };
 
 } // namespace tarragon::placement
