Spend a scarce retry budget on queries that few retries complete

With 60 % of the targets shedding 60 % of their attempts, the budget of 0.2 was spent on parts of queries that were lost anyway. While less than a fifth of the budget is left, a query decides on its retries together, 10 ms after the first was due: it needs a chance of success per retry that grows as the budget shrinks. A query that forgoes them ends and cancels its attempts at once.

Each refusal is logged as failed request again.

--- a/src/gateway/activerequest.cpp
+++ b/src/gateway/activerequest.cpp
@@ -377,8 +377,8 @@
       .observe(std::chrono::duration_cast<microseconds>(
           Now - Origin.Request.ReceivedAt));
   if (!Plan.admission().IsAdmitted)
-    return Gateway.queryRefusals().record(Origin.Route->Name, Id,
-                                          Plan.admission(), Now);
+    Gateway.queryRefusals().record(Origin.Route->Name, Id, Plan.admission(),
+                                   Now);
   if (Finish.Verdict == plan_verdict::Answer && Plan.isComplete())
     return;
   log::write(log::level::Info, log::part::Query,
--- a/src/placement/queryadmission.cpp
+++ b/src/placement/queryadmission.cpp
@@ -1,5 +1,7 @@
 #include "placement/queryadmission.h"
 
+#include "placement/internal/partsprobability.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -44,25 +46,6 @@
   return std::max(1.0, (Ahead + 1) / std::max(1.0, Slots));
 }
 
-/// Returns the probability that at most \p MaxMissing parts miss their time, if
-/// the parts are independent and part I is answered in time with probability
-/// \p Shares[I] (Poisson-binomial distribution).
-auto successProbability(const std::vector<double> &Shares,
-                        const std::size_t MaxMissing) -> double {
-  std::vector<double> Missing(MaxMissing + 1);
-  Missing[0] = 1;
-  for (const double Share : Shares) {
-    for (std::size_t Count = MaxMissing; Count > 0; --Count)
-      Missing[Count] =
-          Missing[Count] * Share + Missing[Count - 1] * (1 - Share);
-    Missing[0] *= Share;
-  }
-  double Sum = 0;
-  for (const double Each : Missing)
-    Sum += Each;
-  return Sum;
-}
-
 } // namespace
 
 auto query_admission::missedShare(const time_point Now) const -> double {
@@ -184,11 +167,13 @@
     SharesAlone.push_back(Outlook.ShareAlone);
   }
   Decision.Service = *Worst.Service;
-  Decision.Probability = successProbability(Shares, MaxMissing - Skips);
+  Decision.Probability =
+      internal::successProbability(Shares, MaxMissing - Skips);
   const double Occupied =
       std::min(1.0, Worst.State->Open / std::max(1.0, Worst.State->Slots));
-  Decision.Needed = MinProbability * Occupied *
-                    successProbability(SharesAlone, MaxMissing - Skips);
+  Decision.Needed =
+      MinProbability * Occupied *
+      internal::successProbability(SharesAlone, MaxMissing - Skips);
   Decision.IsAdmitted = Decision.Probability >= Decision.Needed;
   if (Decision.IsAdmitted)
     return Decision;
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -1,5 +1,6 @@
 #include "placement/requestplan.h"
 
+#include "placement/internal/retrycosts.h"
 #include "placement/latencymodel.h"
 #include "placement/retrybudgettable.h"
 #include "placement/targetset.h"
@@ -10,6 +11,9 @@
 
 namespace {
 
+using internal::AmpleRetryShare;
+using internal::LostPartCost;
+
 /// The hedge delay is this latency quantile times a factor that grows from
 /// MinHedgeFactor to MaxHedgeFactor as the hedge budget runs out.
 constexpr double HedgeQuantile = 0.75;
@@ -18,12 +22,6 @@
 /// From this remaining share of the budget up, the factor is MinHedgeFactor.
 constexpr double AmpleBudgetShare = 0.4;
 constexpr microseconds MinHedgeDelay{4000};
-/// The cost, in median latencies, of a refusal that no retry makes up for: the
-/// part is missing, and often the whole answer fails.
-constexpr double LostPartCost = 20;
-/// From this remaining share of the retry budget up, a refused first attempt is
-/// expected to be retried.
-constexpr double AmpleRetryShare = 0.2;
 /// How often a part without an available target looks for one again.
 constexpr milliseconds CapacityCheckInterval{10};
 /// How often the health of targets with attempts in flight is checked.
@@ -34,7 +32,7 @@
 request_plan::request_plan(context NewContext, plan_settings NewSettings)
     : Context(NewContext), Settings(std::move(NewSettings)) {
   for (const std::string &Service : Settings.Services)
-    Parts.push_back({Service, {}, {}, {}, false, false, false, {}});
+    Parts.push_back({Service, {}, {}, {}, false, false, false, {}, {}});
 }
 
 auto request_plan::start(const time_point Now) -> plan_actions {
@@ -193,7 +191,7 @@
         Settings.Repeatability == route::repeatability::Idempotent ||
         !mayHaveRun(End);
     if (MayRetry)
-      sendExtra(Key.Part, false, Now, Actions);
+      retry(Key.Part, Now, Actions);
   }
   finishOrScheduleWake(Now, Actions);
   return Actions;
@@ -206,12 +204,16 @@
   const bool HasTime = Now < Settings.Deadline;
   for (std::size_t Index = 0; HasTime && Index < Parts.size(); ++Index) {
     part &Part = Parts[Index];
+    if (Part.RetryAt)
+      continue;
     if (Part.Waiting)
       sendFirst(Index, Now, Actions);
     else if (mayHedge(Part) && Now >= Part.HedgeAt &&
              !sendExtra(Index, true, Now, Actions))
       Part.HedgeAt = Now + CapacityCheckInterval;
   }
+  if (HasTime)
+    decideRetries(Now, Actions);
   finishOrScheduleWake(Now, Actions);
   return Actions;
 }
@@ -291,7 +293,8 @@
     const bool InFlight =
         std::any_of(Part.Attempts.begin(), Part.Attempts.end(),
                     [](const attempt &A) { return !A.End; });
-    if (!InFlight && (!Part.Waiting || isServiceDown(Part, Now)))
+    if (!InFlight && !Part.RetryAt &&
+        (!Part.Waiting || isServiceDown(Part, Now)))
       continue;
     ++Counts.Open;
     // A run that may not be repeated is worth waiting for: its target may only
@@ -368,7 +371,9 @@
   if (Now < Settings.EarlyAt)
     Wake = std::min(Wake, Settings.EarlyAt);
   for (const part &Part : Parts) {
-    if (Part.Waiting)
+    if (Part.RetryAt)
+      Wake = std::min(Wake, std::max(*Part.RetryAt, Now));
+    else if (Part.Waiting)
       Wake = std::min(Wake, Now + CapacityCheckInterval);
     else if (mayHedge(Part))
       Wake = std::min(Wake, std::max(Part.HedgeAt, Now));
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -92,6 +92,8 @@
     bool Answered = false;
     bool Waiting = false; ///< no target is available
     bool Skipped = false; ///< not sent, as it would be answered too late
+    /// When to decide on a retry that waits for the ends of other attempts.
+    std::optional<time_point> RetryAt;
     /// While the part is open, if admission is decided.
     std::optional<admission_ticket> Ticket;
   };
@@ -112,6 +114,19 @@
       -> void;
   auto sendExtra(std::size_t Index, bool IsHedge, time_point Now,
                  plan_actions &Actions) -> bool;
+  /// Retries a part whose attempt ended without an answer. While the budget is
+  /// scarce, the decision waits until the other targets have shed or accepted
+  /// theirs: the budget goes to queries that few retries complete.
+  auto retry(std::size_t Index, time_point Now, plan_actions &Actions) -> void;
+  /// Decides on the retries that are due, if any.
+  auto decideRetries(time_point Now, plan_actions &Actions) -> void;
+  /// Leaves the retries \p Due to other queries, which need fewer.
+  auto forgo(const std::vector<std::pair<double, std::size_t>> &Due,
+             time_point Now) -> void;
+  /// Returns the number of parts that must be retried for the minimum.
+  auto neededRetries() const -> std::size_t;
+  /// Returns the probability that the best untried target runs \p Part.
+  auto runShare(const part &Part, time_point Now) const -> double;
   auto send(std::size_t Index, const route::target_entry &Target,
             time_point Now, plan_actions &Actions) -> void;
   /// Returns the cost of a refusal of the next attempt of \p Part, in median
--- a/src/placement/retrybudget.h
+++ b/src/placement/retrybudget.h
@@ -42,6 +42,11 @@
   /// Reserves one extra attempt; returns false if the budget is exhausted.
   auto tryAcquire(extra_purpose Purpose, time_point Now) -> bool;
 
+  /// Records a retry that was wanted, but not tried to acquire.
+  auto recordForgoneRetry(time_point Now) -> void {
+    currentSlice(Now).RetriesRequested += 1;
+  }
+
   /// Returns the remaining share of the allowance for \p Purpose, from 0 to 1.
   auto remainingShare(extra_purpose Purpose, time_point Now) -> double;
 
