--- a/src/placement/queryadmission.cpp
+++ b/src/placement/queryadmission.cpp
@@ -11,6 +11,9 @@
 
 /// The weight of a new sample in the moving averages of a service.
 constexpr double Smoothing = 0.1;
+/// A sample counts as at most this many times the average, so that the few
+/// parts that were answered after an outage don't outweigh those since.
+constexpr double MaxSampleFactor = 4;
 /// The weight of a query in the share of missed ones.
 constexpr double QuerySmoothing = 0.05;
 /// The decay time constant, in seconds, of the share of missed queries and of
@@ -94,9 +97,10 @@
     return;
   }
   State.MeasuredAt = Now;
-  State.DeviationUs +=
-      Smoothing * (std::abs(RoundUs - State.RoundUs) - State.DeviationUs);
-  State.RoundUs += Smoothing * (RoundUs - State.RoundUs);
+  const double Change =
+      std::min(RoundUs, MaxSampleFactor * State.RoundUs) - State.RoundUs;
+  State.DeviationUs += Smoothing * (std::abs(Change) - State.DeviationUs);
+  State.RoundUs += Smoothing * Change;
   if (Ticket.Rounds <= 1)
     State.AloneUs += Smoothing * (TookUs - State.AloneUs);
 }
