--- a/src/placement/tests/admissionreplay_tests.cpp
+++ b/src/placement/tests/admissionreplay_tests.cpp
@@ -232,9 +232,9 @@
 
 // Guards against queues at the slowest shards that make all answers late: in
 // two of these draws all targets of two shards are slow. There 0.8 of the best
-// share isn't reached, as each instance knows only its own parts: each has one
-// and a half of the slots of such a shard, and a slot's work takes nearly all
-// of the objective, so that a wait for one other part already makes it late.
+// share isn't reached: a slot's work takes nine tenths of the objective, so
+// that a part that waits for one other part is mostly late, and hedges and
+// attempts that were given up use slots too.
 BOOST_AUTO_TEST_CASE(slow_targets_make_no_queue) {
   replay Replay;
   Replay.Prepare = [](virtual_tier &Tier, const std::uint64_t Seed) {
