--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "account/accounttable.h"
+#include "account/priority.h"
 #include "gateway/activerequest.h"
 #include "gateway/callersession.h"
 #include "gateway/internal/answerwriter.h"
@@ -68,8 +69,9 @@
     : Loop(NewLoop), Settings(std::move(NewSettings)), Metrics(NewMetrics),
       Memory(std::make_shared<receive_budget>(MaxAnswerBytes)),
       Targets(Settings.FailureDomain),
-      Budgets(std::chrono::steady_clock::now()), Poison(PoisonHold),
-      Random(std::random_device()()), RefusedKeyLines(RefusedKeyLinesPerSecond),
+      Budgets(std::chrono::steady_clock::now()), QueryRefusals(NewMetrics),
+      Poison(PoisonHold), Random(std::random_device()()),
+      RefusedKeyLines(RefusedKeyLinesPerSecond),
       ClockOffset(bootTime() - std::chrono::steady_clock::now()),
       SweepTimer(NewLoop),
       WarmNotBefore(std::chrono::steady_clock::now() + PeerDiscoveryTime) {
@@ -316,12 +318,14 @@
                   {503, "held: it crashed targets", PoisonHold});
   if (!admitByQuota(Session, Request, Account, Now))
     return;
-  const placement::plan_settings Plan = makePlanSettings(*Route, Request);
+  placement::plan_settings Plan = makePlanSettings(*Route, Request);
+  Plan.Priority = account::priorityOf(*Route, Account);
   auto Active = std::make_shared<active_request>(
       *this,
       active_request::origin{Session, std::move(Request), Table, Route,
                              Account},
-      placement::request_plan({Targets, Budgets, latencies(*Route)}, Plan),
+      placement::request_plan({Targets, Budgets, latencies(*Route), &Admission},
+                              Plan),
       Plan.Deadline);
   this->Active.insert(Active);
   Active->begin();
--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -123,6 +123,16 @@
                                 });
 }
 
+auto viewAdmission(gateway &Gateway, const time_point Now) -> Json::Value {
+  const placement::query_admission &Admission = Gateway.admission();
+  Json::Value Row;
+  Row["active"] = Admission.isActive(Now);
+  Row["missed_share"] = rounded(Admission.missedShare(Now));
+  Row["open_queries"] = Admission.openQueries();
+  Row["refused"] = Json::UInt64{Gateway.queryRefusals().count()};
+  return Row;
+}
+
 /// Returns the median latency of the first route to \p Service. The health
 /// states of the service's targets are relative to it.
 auto medianLatency(gateway &Gateway, const std::string &Service)
@@ -152,6 +162,7 @@
   }
   if (account::quota_ledger *Ledger = Gateway.quotas())
     Value["quotas"] = viewQuotas(*Ledger, Now);
+  Value["admission"] = viewAdmission(Gateway, Now);
   Value["crashes"] = viewCrashes(Gateway, Now);
   Value["evacuated_domains"] = Json::Value(Json::arrayValue);
   for (const std::string &Domain : Gateway.targets().registry().evacuated())
