End the hedged request of the accounts test

Cause: a request in flight and its session hold each other, so that AddressSanitizer reports a leak where a test ends before its request. Change: the caller of the test leaves, and the test waits until the request is gone.

--- a/src/gateway/tests/accounts_tests.cpp
+++ b/src/gateway/tests/accounts_tests.cpp
@@ -304,6 +304,10 @@
                "account a");
     BOOST_TEST(occurrences(Target->requests()[0], "secret") == 0);
   }
+  // A request in flight and its session hold each other.
+  Caller.close();
+  BOOST_TEST(runUntil(
+      Case.Loop, [&Case] { return Case.Gateway.requestsInFlight() == 0; }));
 }
 
 // A deployment without accounts must see its headers exactly as before, also
