--- a/src/account/quotaledger.cpp
+++ b/src/account/quotaledger.cpp
@@ -69,6 +69,11 @@
 
 auto quota_ledger::setInstances(const quota_peers &NewPeers,
                                 const time_point Now) -> void {
+  // The peers learn by its next reports that it holds no share any more.
+  if (Peers.IsServing && !NewPeers.IsServing)
+    UsedAt = Now;
+  if (!Peers.IsServing && NewPeers.IsServing && !KnowsLevels)
+    UnknownSince = Now;
   Peers = NewPeers;
   Group.setPeers(Peers, Now);
   advance(Now);
@@ -179,6 +184,7 @@
     return {};
   account_usage &Usage = Found->second;
   UsedAt = Now;
+  checkSuspension(Now);
   advance(Now);
   settle(Usage, Now);
   shiftRound(Usage, Now);
--- a/src/account/quotaledger.h
+++ b/src/account/quotaledger.h
@@ -68,6 +68,9 @@
 private:
   using usages = std::unordered_map<std::uint64_t, account_usage>;
 
+  /// Starts anew if the timer has not run for long. Requests and reports may be
+  /// handled before the timer when the process resumes.
+  auto checkSuspension(time_point Now) -> void;
   auto advance(time_point Now) -> void;
   /// Applies changes of the reserved shares to all buckets.
   auto applySteps() -> void;
--- a/src/account/quotareports.cpp
+++ b/src/account/quotareports.cpp
@@ -23,6 +23,8 @@
 /// Instances that start together and find that none of them knows the levels
 /// start with empty buckets after it.
 constexpr milliseconds StartTime{600};
+/// Instances that started empty together restore the levels within it.
+constexpr milliseconds MinRestoreTime{1000};
 /// An instance that finds no peer within it is the only one.
 constexpr std::chrono::seconds LonelyTime{60};
 /// An instance that isn't serving exchanges reports for this long after its
@@ -52,6 +54,11 @@
   }
 }
 
+auto quota_ledger::checkSuspension(const time_point Now) -> void {
+  if (TickAt && Now - *TickAt > MinSuspension)
+    onSuspended(Now);
+}
+
 auto quota_ledger::onSuspended(const time_point Now) -> void {
   TickAt = Now;
   learnLevels(Now);
@@ -118,8 +125,7 @@
     -> std::optional<usage_report> {
   if (!isActive())
     return std::nullopt;
-  if (TickAt && Now - *TickAt > MinSuspension)
-    onSuspended(Now);
+  checkSuspension(Now);
   TickAt = Now;
   advance(Now);
   ++Round;
@@ -228,6 +234,7 @@
     -> void {
   if (!isActive())
     return;
+  checkSuspension(Now);
   advance(Now);
   const auto Before = shares();
   quota_group::peer *Peer = Group.hear(From, Incarnation, Report, Now);
@@ -249,6 +256,10 @@
     Peer->HasSentLevels = true;
     if (!KnowsLevels && !FirstLevelsAt)
       FirstLevelsAt = Now;
+    // A peer that knows the levels, found after this instance started empty.
+    if (RestoreAt && Report.RestoreIn.count() == 0 &&
+        *RestoreAt - Now > MinRestoreTime)
+      RestoreAt.reset();
     if (!KnowsLevels && Report.RestoreIn.count() > 0)
       RestoreAt = std::max(RestoreAt.value_or(Now), Now + Report.RestoreIn);
   }
