--- a/src/gateway/tests/accounts_tests.cpp
+++ b/src/gateway/tests/accounts_tests.cpp
@@ -1,6 +1,9 @@
+#include "gateway/statusview.h"
 #include "gateway/tests/gatewaycase.h"
+#include "global/json.h"
 
 #include <boost/algorithm/string/case_conv.hpp>
+#include <json/json.h>
 
 #include <algorithm>
 
@@ -242,6 +245,21 @@
   BOOST_TEST(headerValue(Target.requests()[1], "App-Account") == "account b");
 }
 
+// A caller reads a body behind the answer to HEAD as the next answer.
+BOOST_AUTO_TEST_CASE(a_refusal_of_head_has_no_body) {
+  gateway_case Case;
+  Case.target("t0", "s0", success);
+  Case.setRoutes(withAccounts(7, {"a"}));
+  scripted_caller Caller(Case.Loop, Case.Address);
+  Caller.send("HEAD /one/1 HTTP/1.1\r\nHost: h.example\r\n\r\n" +
+              request(KeyA));
+  BOOST_REQUIRE(runUntil(Case.Loop, [&] {
+    return Caller.received().find("body") != std::string::npos;
+  }));
+  BOOST_TEST(status(Caller.received()) == "401");
+  BOOST_TEST(body(Caller.received()).starts_with("HTTP/1.1 200"));
+}
+
 // The version that a request is pinned to must outlive a newer one, and the
 // retry must not lose or change the name.
 BOOST_AUTO_TEST_CASE(a_retry_carries_the_account_of_the_pinned_version) {
@@ -343,4 +361,34 @@
   BOOST_TEST(status(Case.get("/one/1", KeyA)) == "503");
 }
 
+// The status view must show the accounts without keys, stay bounded, and say
+// nothing of accounts where there are none.
+BOOST_AUTO_TEST_CASE(the_status_lists_accounts_without_keys) {
+  gateway_case Case;
+  const auto Status = [&Case] {
+    return viewStatus(Case.Gateway, std::chrono::steady_clock::now());
+  };
+  BOOST_TEST(!Status().isMember("accounts"));
+  Case.routes();
+  BOOST_TEST(!Status().isMember("accounts"));
+  route::route_set Set = withAccounts(8, {});
+  for (int Number = 0; Number < 100; ++Number)
+    Set.Accounts->push_back(makeAccount(std::to_string(Number)));
+  Set.Accounts->at(1).Priority = 2;
+  Set.Accounts->at(1).RatePerSecond = 12.5;
+  Set.Accounts->at(1).Burst = 40;
+  Case.setRoutes(Set);
+  const Json::Value View = Status();
+  BOOST_TEST(View["accounts"].size() == 64U);
+  BOOST_TEST(View["accounts_not_listed"].asInt() == 36);
+  const Json::Value &Row = View["accounts"][1];
+  BOOST_TEST(Row["account"].asString() == "account 1");
+  BOOST_TEST(Row["priority"].asInt() == 2);
+  BOOST_TEST(Row["rate_per_s"].asDouble() == 12.5);
+  BOOST_TEST(Row["burst"].asDouble() == 40);
+  BOOST_TEST(Row["key_count"].asInt() == 2);
+  BOOST_TEST(!View["accounts"][0].isMember("priority"));
+  BOOST_TEST(occurrences(writeJson(View), "secret") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
