Bound the requests to cold targets over all instances

Cause: A target that has just started, or whose caches were dropped, bears a few requests per second. Each instance sends to it as to an idle one, and only a restart counted as cold. Change: For each cold target a few instances, chosen by rendezvous hashing over those seen serving in the last minute, have a token bucket each; the others send it nothing. A held target counts as down: siblings carry its load, and the rest is refused at once until the next token or the end of the cold time. Any new write of an entry, or an answer, that states a remaining cold time makes the target cold from then on. A newly chosen, started or resumed instance waits for 2 s; the smaller part of a partition keeps its shares. 421 returns the token. In force only with limits in the settings and a rate of the service.

--- a/src/fleet/fleetlink.h
+++ b/src/fleet/fleetlink.h
@@ -85,6 +85,9 @@
   /// callers; excludes this instance.
   auto readyPeers() const -> std::vector<instance>;
 
+  /// Returns all known instances, this one included.
+  auto members() const -> std::vector<instance> { return Table.members(); }
+
   /// Returns the number of live instances, this one included.
   auto live() const -> std::uint32_t { return LiveMembers; }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,6 +73,8 @@
   BudgetInstances = Settings.Retries.Instances;
   BudgetInstancesAt = std::chrono::steady_clock::now();
   Targets.setConnectionLimits({}, Settings.Retries.Instances);
+  Targets.cold().setSelf(Settings.CallerAddress, Settings.IsOnlyInstance);
+  Targets.cold().setLimits(Settings.ColdLimits);
   UsedCoresReadAt = std::chrono::steady_clock::now();
   sweep();
 }
@@ -88,7 +90,7 @@
   if (Routes->Version <= version())
     return;
   Targets.setConnectionLimits(Routes->MaxConnections, Targets.instances());
-  Targets.setColdStarts(Routes->ColdStarts);
+  Targets.setColdStarts(Routes->ColdStarts, std::chrono::steady_clock::now());
   for (auto At = Latencies.begin(); At != Latencies.end();) {
     const bool Kept = std::any_of(
         Routes->Routes.begin(), Routes->Routes.end(),
@@ -156,10 +158,12 @@
   std::string Usable;
   std::string Unusable;
   for (const route::target_registry::change &Change : Changes) {
+    if (Change.OnlyCold)
+      continue;
     std::string &Ids = Change.Usable ? Usable : Unusable;
     Ids += (Ids.empty() ? "" : ",") + Change.Id;
   }
-  if (!Changes.empty())
+  if (!Usable.empty() || !Unusable.empty())
     log::write(log::level::Info, log::part::Membership, "targets changed",
                {{"get_work", Usable}, {"get_none", Unusable}});
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,6 +67,10 @@
   /// to those in domains that were evacuated before.
   auto setEvacuated(std::set<std::string> Domains) -> void;
 
+  /// Sets the instances over which the requests to cold targets are divided; to
+  /// be called at least once a second.
+  auto setInstances(const placement::instance_view &View) -> void;
+
   /// Sets the number of instances that share the retry budgets and the targets'
   /// connections. An instance that is not serving gets a smaller share and
   /// opens no connections in advance.
@@ -177,6 +181,12 @@
   auto publishCrashes(time_point Now) -> void;
   auto warmPools() -> void;
   auto reportTargets(const route::target_registry::changes &Changes) -> void;
+  /// Uses the remaining cold time that an answer of \p Target states.
+  auto recordCold(const std::string &Target, std::int64_t StartedAtMs,
+                  const exchange_answer &Answer) -> void;
+  /// Logs the cold targets that have a bound, and this instance's share, where
+  /// they changed.
+  auto reportCold(time_point Now) -> void;
   /// Drops the connections of targets that changed; those that aren't
   /// established yet must not reach an evacuated target.
   auto dropPools(const route::target_registry::changes &Changes) -> void;
@@ -200,6 +210,8 @@
   std::unordered_set<std::shared_ptr<active_request>> Active;
   placement::latency_model Lateness{milliseconds(0)};
   std::map<placement::attempt_end, report::metric_counter *> AttemptCounters;
+  /// Rates that this instance may send to cold targets, as reported last.
+  std::map<std::string, double> ColdShares;
   /// Of the clock that runs through a suspension, relative to the steady one.
   std::chrono::steady_clock::duration ClockOffset;
   std::uint64_t Exchanges = 0; ///< since UsedCoresReadAt
--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -27,6 +27,7 @@
 auto gateway::recordNotices(const std::string &Target,
                             const std::int64_t StartedAtMs,
                             const exchange_answer &Answer) -> void {
+  recordCold(Target, StartedAtMs, Answer);
   const std::string *Leaving = Answer.find(Settings.Names.Leaving);
   if (Leaving && *Leaving == "1") {
     const route::target_entry *Entry = Targets.registry().find(Target);
@@ -94,6 +95,7 @@
   log::write(log::level::Warning, log::part::Entry, "the machine was suspended",
              {{"ms", std::to_string(Span.count())},
               {"at_hand", std::to_string(Active.size())}});
+  Targets.cold().hold(std::chrono::steady_clock::now());
   for (const std::shared_ptr<active_request> &Request : activeRequests())
     Request->shorten(Span);
 }
--- a/src/gateway/gatewayplaces.cpp
+++ b/src/gateway/gatewayplaces.cpp
@@ -4,7 +4,9 @@
 #include "global/log.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
+#include <utility>
 
 namespace tarragon::gateway {
 
@@ -13,6 +15,8 @@
 /// Another program chooses the names of evacuated domains.
 constexpr std::size_t MaxNamesLogged = 16;
 constexpr std::size_t MaxNameBytes = 64;
+/// A day, as for the entries of targets.
+constexpr std::int64_t MaxColdMs = 86400000;
 
 /// Returns the names in \p Left that aren't in \p Right, shortened.
 auto difference(const std::set<std::string> &Left,
@@ -45,6 +49,54 @@
   applyTargets(Changes);
 }
 
+auto gateway::setInstances(const placement::instance_view &View) -> void {
+  const auto Now = std::chrono::steady_clock::now();
+  Targets.cold().observe(View, Now);
+  reportCold(Now);
+}
+
+auto gateway::reportCold(const time_point Now) -> void {
+  const auto Shares = Targets.cold().shares(Now);
+  std::map<std::string, double> Known = std::exchange(ColdShares, {});
+  for (const placement::cold_share &Share : Shares) {
+    ColdShares[Share.Target] = Share.RequestsPerSecond;
+    const auto Before = Known.find(Share.Target);
+    const bool IsSame =
+        Before != Known.end() && Before->second == Share.RequestsPerSecond;
+    Known.erase(Share.Target);
+    if (!IsSame)
+      log::write(log::level::Info, log::part::Membership, "target is cold",
+                 {{"target", Share.Target},
+                  {"ms", std::to_string(Share.Remaining.count())},
+                  {"per_s", std::to_string(Share.RequestsPerSecond)}});
+  }
+  for (const auto &[Target, Rate] : Known)
+    log::write(log::level::Info, log::part::Membership,
+               "target is no longer cold", {{"target", Target}});
+  Metrics.gauge("tarragon_cold_targets")
+      .set(static_cast<double>(Shares.size()));
+}
+
+auto gateway::recordCold(const std::string &Target,
+                         const std::int64_t StartedAtMs,
+                         const exchange_answer &Answer) -> void {
+  if (Settings.Names.ColdFor.empty())
+    return;
+  const std::string *Text = Answer.find(Settings.Names.ColdFor);
+  if (!Text)
+    return;
+  std::int64_t Count = 0;
+  const char *End = Text->data() + Text->size();
+  const auto Read = std::from_chars(Text->data(), End, Count);
+  if (Read.ec != std::errc() || Read.ptr != End || Count <= 0 ||
+      Count > MaxColdMs)
+    return;
+  const route::target_entry *Entry = Targets.registry().find(Target);
+  if (Entry && Entry->StartedAtMs == StartedAtMs)
+    Targets.makeCold(*Entry, milliseconds(Count),
+                     std::chrono::steady_clock::now());
+}
+
 auto gateway::dropPools(const route::target_registry::changes &Changes)
     -> void {
   std::vector<std::unique_ptr<connection_pool>> Evacuated;
--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t MaxCrashes = 32;
 constexpr std::size_t MaxDomains = 64;
+constexpr std::size_t MaxColdTargets = 256;
 constexpr double Tail = 0.99;
 constexpr double Decimals = 100;
 
@@ -84,6 +85,21 @@
   return Rows;
 }
 
+auto viewCold(gateway &Gateway, const time_point Now) -> Json::Value {
+  Json::Value Rows(Json::arrayValue);
+  for (const placement::cold_share &Share :
+       Gateway.targets().cold().shares(Now)) {
+    if (Rows.size() == MaxColdTargets)
+      break;
+    Json::Value Row;
+    Row["target"] = Share.Target;
+    Row["per_s"] = rounded(Share.RequestsPerSecond);
+    Row["cold_ms"] = Json::Int64{Share.Remaining.count()};
+    Rows.append(std::move(Row));
+  }
+  return Rows;
+}
+
 auto routesTo(const route::route &Route, const std::string &Service) -> bool {
   const bool IsShard = std::find(Route.Shards.begin(), Route.Shards.end(),
                                  Service) != Route.Shards.end();
@@ -121,6 +137,7 @@
     Service = Entry->Service;
   }
   Value["crashes"] = viewCrashes(Gateway, Now);
+  Value["cold_targets"] = viewCold(Gateway, Now);
   Value["evacuated_domains"] = Json::Value(Json::arrayValue);
   for (const std::string &Domain : Gateway.targets().registry().evacuated())
     if (Value["evacuated_domains"].size() < MaxDomains)
--- a/src/gateway/types/gatewaysettings.h
+++ b/src/gateway/types/gatewaysettings.h
@@ -2,7 +2,9 @@
 
 #include "gateway/types/headernames.h"
 #include "placement/retrybudget.h"
+#include "placement/types/coldlimits.h"
 
+#include <optional>
 #include <string>
 
 namespace tarragon::gateway {
@@ -12,6 +14,10 @@
   header_names Names;
   std::string FailureDomain;
   placement::retry_limits Retries;
+  /// Set where the load of cold targets is bounded.
+  std::optional<placement::cold_limits> ColdLimits;
+  std::string CallerAddress;   ///< of this instance
+  bool IsOnlyInstance = false; ///< there can be no other
 };
 
 } // namespace tarragon::gateway
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -109,7 +109,7 @@
   Part.Attempts.push_back({Target.Id, Now, std::nullopt});
   Part.Tried.push_back(Target.Id);
   Part.HedgeAt = Now + hedgeDelay(Part, Now);
-  Context.Targets.health(Target.Id).onSent(Now);
+  Context.Targets.recordSent(Target.Id, Now);
   Actions.push_back(send_attempt{Key, Target});
 }
 
@@ -176,6 +176,8 @@
       std::chrono::duration_cast<microseconds>(Now - Attempt.SentAt);
   Context.Targets.health(Attempt.Target)
       .onEnded(End, Latency, Context.Latencies.median(), Now);
+  if (End == attempt_end::Misdirected)
+    Context.Targets.cold().refund(Attempt.Target, Now);
   if (End == attempt_end::Answered) {
     Context.Latencies.record(Latency);
     Part.Answered = true;
--- a/src/placement/targetset.cpp
+++ b/src/placement/targetset.cpp
@@ -37,20 +37,45 @@
     const route::target_entry *Entry = Registry.find(Change.Id);
     if (!Entry) {
       HealthByTarget.erase(Change.Id);
+      Cold.forget(Change.Id);
       continue;
     }
-    if (!Change.Restarted && !Change.Returned)
-      continue;
-    target_health &Health = HealthByTarget[Change.Id];
-    Health = {};
-    if (Change.Restarted)
-      Health.setSlowStartEnd(Now + Entry->ColdFor);
-    if (Change.Returned)
-      Health.returnGradually(Now, Now + returnTime(Entry->Service));
-    updateShares(*Entry);
+    if (Change.Restarted || Change.Returned) {
+      target_health &Health = HealthByTarget[Change.Id];
+      Health = {};
+      if (Change.Returned)
+        Health.returnGradually(Now, Now + returnTime(Entry->Service));
+      updateShares(*Entry);
+    }
+    if (Change.Cold) {
+      if (Change.Restarted || Cold.isLimited())
+        HealthByTarget[Change.Id].setSlowStartEnd(Now + Entry->ColdFor);
+      Cold.makeCold(Entry->Id, Entry->Service, Now + Entry->ColdFor,
+                    Change.Restarted, Now);
+    }
   }
 }
 
+auto target_set::makeCold(const route::target_entry &Entry,
+                          const milliseconds Time, const time_point Now)
+    -> void {
+  HealthByTarget[Entry.Id].setSlowStartEnd(Now + Time);
+  Cold.makeCold(Entry.Id, Entry.Service, Now + Time, false, Now);
+}
+
+auto target_set::setColdStarts(
+    std::map<std::string, route::cold_start> NewColdStarts,
+    const time_point Now) -> void {
+  ColdStarts = std::move(NewColdStarts);
+  Cold.setRates(ColdStarts, Now);
+}
+
+auto target_set::recordSent(const std::string &Id, const time_point Now)
+    -> void {
+  HealthByTarget[Id].onSent(Now);
+  Cold.take(Id, Now);
+}
+
 auto target_set::returnTime(const std::string &Service) const -> milliseconds {
   const auto Found = ColdStarts.find(Service);
   const bool IsStated =
@@ -98,7 +123,7 @@
     if (std::find(Tried.begin(), Tried.end(), Entry->Id) != Tried.end())
       continue;
     const target_health &Health = HealthByTarget[Entry->Id];
-    if (Health.isUnavailable(MedianLatency, Now))
+    if (Health.isUnavailable(MedianLatency, Now) || Cold.isHeld(Entry->Id, Now))
       continue;
     double Cost = Health.cost(MedianLatency, Now, RefusalCost);
     if (Entry->FailureDomain == OwnDomain)
@@ -121,6 +146,8 @@
   const auto &Usable = Registry.usable(Service);
   return std::all_of(Usable.begin(), Usable.end(),
                      [&](const route::target_entry *Entry) {
+                       if (Cold.isHeld(Entry->Id, Now))
+                         return true;
                        const auto Found = HealthByTarget.find(Entry->Id);
                        return Found != HealthByTarget.end() &&
                               Found->second.isDown(MedianLatency, Now);
@@ -156,7 +183,8 @@
     const auto Found = HealthByTarget.find(Entry->Id);
     if (Found == HealthByTarget.end())
       return MedianLatency;
-    if (!Found->second.isUnavailable(MedianLatency, Now))
+    if (!Found->second.isUnavailable(MedianLatency, Now) &&
+        !Cold.isHeld(Entry->Id, Now))
       LowestCost = std::min(LowestCost, Found->second.cost(MedianLatency, Now));
   }
   constexpr double MaxWaitUs = 3.6e9;
@@ -169,13 +197,14 @@
   auto Shortest = MaxClosedRetryDelay;
   for (const route::target_entry *Entry : Registry.usable(Service)) {
     const auto Found = HealthByTarget.find(Entry->Id);
-    const auto Delay = Found == HealthByTarget.end()
-                           ? milliseconds(0)
-                           : std::chrono::ceil<milliseconds>(
-                                 Found->second.blockedUntil() - Now);
+    const bool IsHeld = Cold.isHeld(Entry->Id, Now);
+    time_point FreeAt = IsHeld ? Cold.heldUntil(Entry->Id, Now) : Now;
+    if (Found != HealthByTarget.end())
+      FreeAt = std::max(FreeAt, Found->second.blockedUntil());
+    const auto Delay = std::chrono::ceil<milliseconds>(FreeAt - Now);
     // A block after a failure is a guess, the end of a closure is not.
-    const bool IsClosed =
-        Found != HealthByTarget.end() && Found->second.isClosed(Now);
+    const bool IsClosed = IsHeld || (Found != HealthByTarget.end() &&
+                                     Found->second.isClosed(Now));
     const auto MaxDelay = IsClosed ? MaxClosedRetryDelay : MaxRetryDelay;
     Shortest = std::min(Shortest, std::clamp(Delay, MinRetryDelay, MaxDelay));
   }
--- a/src/placement/targetset.h
+++ b/src/placement/targetset.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "placement/coldlimiter.h"
 #include "placement/targethealth.h"
 #include "route/targetregistry.h"
 #include "route/types/coldstart.h"
@@ -33,10 +34,20 @@
                            int Instances) -> void;
 
   /// Sets the bounds of cold targets, by service.
-  auto setColdStarts(std::map<std::string, route::cold_start> NewColdStarts)
-      -> void {
-    ColdStarts = std::move(NewColdStarts);
-  }
+  auto setColdStarts(std::map<std::string, route::cold_start> NewColdStarts,
+                     time_point Now) -> void;
+
+  /// Returns the bounds of cold targets; a target that may not be sent to for
+  /// that reason counts as down.
+  auto cold() -> cold_limiter & { return Cold; }
+  auto cold() const -> const cold_limiter & { return Cold; }
+
+  /// Makes \p Entry cold for \p Time from now.
+  auto makeCold(const route::target_entry &Entry, milliseconds Time,
+                time_point Now) -> void;
+
+  /// Records that an attempt at \p Id was sent.
+  auto recordSent(const std::string &Id, time_point Now) -> void;
 
   /// Returns the available target of \p Service with the lowest cost that
   /// isn't in \p Tried, or null. A refusal costs \p RefusalCost median
@@ -92,6 +103,7 @@
   route::target_registry Registry;
   /// By target id.
   std::unordered_map<std::string, target_health> HealthByTarget;
+  cold_limiter Cold;
   std::map<std::string, int> MaxConnections;
   std::map<std::string, route::cold_start> ColdStarts; ///< by service
   int Instances = 1;
--- a/src/placement/tests/evacuation_tests.cpp
+++ b/src/placement/tests/evacuation_tests.cpp
@@ -26,7 +26,7 @@
       Entry.StartedAtMs = 1;
       Targets.apply(Targets.registry().put(Entry), Start);
     }
-    Targets.setColdStarts({{"s", {10, 4000ms}}});
+    Targets.setColdStarts({{"s", {10, 4000ms}}}, Start);
   }
 
   auto evacuate(const std::set<std::string> &Domains, const time_point Now)
--- a/src/route/targetregistry.cpp
+++ b/src/route/targetregistry.cpp
@@ -20,6 +20,16 @@
                   Existing.Service);
 }
 
+/// Returns whether \p Entry is not the one that is known already, as a complete
+/// list repeats it.
+auto isAnotherWrite(const target_entry &Entry, const target_entry &Existing)
+    -> bool {
+  return std::tie(Entry.Revision, Entry.StartedAtMs, Entry.Sequence,
+                  Entry.ColdFor) !=
+         std::tie(Existing.Revision, Existing.StartedAtMs, Existing.Sequence,
+                  Existing.ColdFor);
+}
+
 } // namespace
 
 auto target_registry::isLeaving(const target_entry &Entry) const -> bool {
@@ -61,12 +71,16 @@
       IsNew || Entry.Draining != Existing->second.Entry.Draining;
   const bool WasEvacuated = !IsNew && isEvacuated(Existing->second.Entry);
   const bool EvacuationChanged = !IsNew && WasEvacuated != isEvacuated(Entry);
+  const bool Cold = Entry.ColdFor > milliseconds(0) &&
+                    (IsNew || isAnotherWrite(Entry, Existing->second.Entry));
+  const bool OnlyCold = !Restarted && !DrainingChanged && !EvacuationChanged;
   Entries[Entry.Id] = {Entry, std::nullopt};
-  if (!Restarted && !DrainingChanged && !EvacuationChanged)
+  if (OnlyCold && !Cold)
     return {};
-  rebuildIndex();
-  return {
-      {Entry.Id, isUsable(Entry), Restarted, WasEvacuated && isUsable(Entry)}};
+  if (!OnlyCold)
+    rebuildIndex();
+  return {{Entry.Id, isUsable(Entry), Restarted,
+           WasEvacuated && isUsable(Entry), Cold, OnlyCold}};
 }
 
 auto target_registry::remove(const std::string &Id, const time_point DropAt)
--- a/src/route/targetregistry.h
+++ b/src/route/targetregistry.h
@@ -25,11 +25,14 @@
     bool Usable = false;
     bool Restarted = false; ///< new incarnation, address or service
     bool Returned = false;  ///< usable again after an evacuation
+    bool Cold = false;      ///< its entry announces a slow start
+    bool OnlyCold = false;  ///< nothing else changed
   };
   using changes = std::vector<change>;
 
   /// Adds or updates one entry; a later call supersedes an earlier one. An
   /// incarnation that has drained stays so, and a pending removal is cancelled.
+  /// Each write of an entry that announces a slow start is a change.
   auto put(const target_entry &Entry) -> changes;
 
   /// Records that the incarnation of \p Id that started at \p StartedAtMs said
--- a/src/route/tests/targetregistry_tests.cpp
+++ b/src/route/tests/targetregistry_tests.cpp
@@ -99,6 +99,29 @@
   }
 }
 
+// Each write of such an entry makes the target cold, but not the same write
+// again, as in a complete list.
+BOOST_AUTO_TEST_CASE(an_entry_that_announces_a_slow_start_is_a_change) {
+  target_registry Registry;
+  BOOST_TEST(!Registry.put(entry("a", 5, 1))[0].Cold);
+  target_entry Cold = entry("a", 5, 2);
+  Cold.ColdFor = 2s;
+  const auto Changes = Registry.put(Cold);
+  BOOST_REQUIRE(Changes.size() == 1U);
+  BOOST_TEST((Changes[0].Cold && Changes[0].OnlyCold && Changes[0].Usable));
+  BOOST_TEST(!Changes[0].Restarted);
+  BOOST_TEST(Registry.put(Cold).empty());
+  Cold.Sequence = 3;
+  BOOST_TEST(Registry.put(Cold).size() == 1U);
+  Cold.Revision = 8;
+  BOOST_TEST(Registry.put(Cold).size() == 1U);
+  Cold.StartedAtMs = 6;
+  const auto Restarted = Registry.put(Cold);
+  BOOST_REQUIRE(Restarted.size() == 1U);
+  BOOST_TEST((Restarted[0].Cold && Restarted[0].Restarted));
+  BOOST_TEST(!Restarted[0].OnlyCold);
+}
+
 BOOST_AUTO_TEST_CASE(a_new_incarnation_restarts_the_sequence) {
   target_registry Registry;
   target_entry Draining = entry("a", 5, 9);
--- a/src/route/types/targetentry.h
+++ b/src/route/types/targetentry.h
@@ -19,6 +19,7 @@
   milliseconds ColdFor{0};      ///< remaining slow start
   std::int64_t StartedAtMs = 0; ///< start, in milliseconds since the Unix epoch
   std::int64_t Sequence = 0;    ///< increases within one incarnation
+  std::uint64_t Revision = 0;   ///< of this write at its source, if known
 };
 
 } // namespace tarragon::route
