--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -28,6 +28,7 @@
 auto gateway::recordNotices(const std::string &Target,
                             const std::int64_t StartedAtMs,
                             const exchange_answer &Answer) -> void {
+  recordCold(Target, StartedAtMs, Answer);
   const std::string *Leaving = Answer.find(Settings.Names.Leaving);
   if (Leaving && *Leaving == "1") {
     const route::target_entry *Entry = Targets.registry().find(Target);
@@ -97,6 +98,7 @@
               {"at_hand", std::to_string(Active.size())}});
   if (account::quota_ledger *Ledger = quotas())
     Ledger->onSuspended(std::chrono::steady_clock::now());
+  Targets.cold().hold(std::chrono::steady_clock::now());
   for (const std::shared_ptr<active_request> &Request : activeRequests())
     Request->shorten(Span);
 }
--- a/src/gateway/types/gatewaysettings.h
+++ b/src/gateway/types/gatewaysettings.h
@@ -3,6 +3,7 @@
 #include "account/types/quotalimits.h"
 #include "gateway/types/headernames.h"
 #include "placement/retrybudget.h"
+#include "placement/types/coldlimits.h"
 
 #include <optional>
 #include <string>
@@ -16,6 +17,10 @@
   placement::retry_limits Retries;
   /// Set where client accounts have quotas.
   std::optional<account::quota_limits> Quota;
+  /// Set where the load of cold targets is bounded.
+  std::optional<placement::cold_limits> ColdLimits;
+  std::string CallerAddress;   ///< of this instance
+  bool IsOnlyInstance = false; ///< there can be no other
 };
 
 } // namespace tarragon::gateway
--- a/src/gateway/types/headernames.h
+++ b/src/gateway/types/headernames.h
@@ -17,6 +17,7 @@
   std::string Leaving;        ///< "1" from a target that is about to stop
   std::string Key;            ///< a caller's key of its account
   std::string Account;        ///< name of the account, for targets
+  std::string ColdFor;        ///< remaining cold time of a target in ms
 };
 
 } // namespace tarragon::gateway
