Leave an account's last tokens to requests that can still be in time

After a loss of power of all machines, 36 accounts began with one token each, and 43 requests were refused in two seconds. Change: a request whose objective has passed needs half of the capacity to be left; a start of all, when nobody knows the levels, begins with the tokens of the floors, which are not needed any more then. The slack in the gateway's tests is lower, so that this is one token, as they count.

--- a/src/account/quotaledger.cpp
+++ b/src/account/quotaledger.cpp
@@ -52,7 +52,7 @@
       account_usage Usage{Account.Name, Parts,
                           shared_bucket(Account.RatePerSecond, Capacity, Now)};
       if (RestoreAt)
-        Usage.Bucket.reset(1); // like startEmpty()
+        Usage.Bucket.reset(std::max(1.0, Parts.Floors)); // like startEmpty()
       Kept.try_emplace(Hash, std::move(Usage));
       continue;
     }
@@ -178,7 +178,8 @@
 }
 
 auto quota_ledger::tryAcquire(const std::string_view Account,
-                              const time_point Now) -> quota_decision {
+                              const time_point Now, const double Kept)
+    -> quota_decision {
   const auto Found = Usages.find(hash64(Account));
   if (Found == Usages.end())
     return {};
@@ -200,10 +201,11 @@
     // heard, the last tokens are kept for those.
     const double AtOnce = static_cast<double>(Group.size()) - 1 -
                           Usage.Parts.Delay - Usage.Parts.Floors;
+    const double Surplus = std::clamp(
+        AtOnce, 0.0, std::max(0.0, MaxKeptPart * Usage.Bucket.capacity() - 1));
+    // The fraction bounds the level while peers are silent.
     const double Needed =
-        1 +
-        std::clamp(AtOnce, 0.0,
-                   std::max(0.0, MaxKeptPart * Usage.Bucket.capacity() - 1));
+        1 + std::max(Surplus, Kept * Usage.Bucket.capacity() * fraction());
     if (Level < Needed) {
       ++Usage.Refused;
       return {false, roundUp(seconds((Needed - Level) / refillRate(Usage)))};
--- a/src/account/quotaledger.h
+++ b/src/account/quotaledger.h
@@ -37,8 +37,10 @@
   /// report.
   auto isActive() const -> bool { return !Usages.empty(); }
 
-  /// Takes a token of \p Account; admits an account without a limit.
-  auto tryAcquire(std::string_view Account, time_point Now) -> quota_decision;
+  /// Takes a token of \p Account; admits an account without a limit. \p Kept is
+  /// the part of the account's capacity that must be left for other requests.
+  auto tryAcquire(std::string_view Account, time_point Now, double Kept = 0)
+      -> quota_decision;
 
   /// Returns the token of a request that was not sent.
   auto refund(std::string_view Account, time_point Now) -> void;
--- a/src/account/quotareports.cpp
+++ b/src/account/quotareports.cpp
@@ -71,7 +71,9 @@
   RestoreAt = Now + Limits.Window;
   for (auto &[Hash, Usage] : Usages) {
     settle(Usage, Now);
-    Usage.Bucket.reset(Now < Usage.FloorAt ? 0 : 1);
+    // The tokens for floors aren't needed any more once the levels are known.
+    const double Floors = std::max(1.0, Usage.Parts.Floors);
+    Usage.Bucket.reset(Now < Usage.FloorAt ? Floors - 1 : Floors);
   }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -318,7 +318,7 @@
       admission::poison_verdict::Held)
     return refuse(Session, Request,
                   {503, "held: it crashed targets", PoisonHold});
-  if (!admitByQuota(Session, Request, Account, Now))
+  if (!admitByQuota(Session, Request, *Route, Account, Now))
     return;
   const placement::plan_settings Plan = makePlanSettings(*Route, Request);
   auto Active = std::make_shared<active_request>(
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -213,7 +213,7 @@
   /// Takes a token of \p Account; refuses the request and returns false if none
   /// is left.
   auto admitByQuota(const session_pointer &Session,
-                    const caller_request &Request,
+                    const caller_request &Request, const route::route &Route,
                     const route::account *Account, time_point Now) -> bool;
   /// Returns the token of a request that has not run.
   auto refundQuota(const active_request &Request) -> void;
--- a/src/gateway/gatewayquota.cpp
+++ b/src/gateway/gatewayquota.cpp
@@ -55,11 +55,17 @@
 
 auto gateway::admitByQuota(const session_pointer &Session,
                            const caller_request &Request,
+                           const route::route &Route,
                            const route::account *Account, const time_point Now)
     -> bool {
   if (!Quotas || !Account || !(Account->RatePerSecond > 0))
     return true;
-  const auto Decision = Quotas->tryAcquire(*Account, Now);
+  // A caller that was refused sends its request again with the rest of its
+  // time. Such requests would use up the tokens of an account that is over its
+  // quota, and none of its requests would be answered within the objective.
+  const milliseconds Passed = Route.Timeout - requestTimeout(Request, Route);
+  const auto Decision =
+      Quotas->tryAcquire(*Account, Passed >= Route.Objective, Now);
   if (Decision.IsAdmitted)
     return true;
   const milliseconds RetryAfter = jittered(Decision.RetryAfter);
--- a/src/gateway/quotagate.cpp
+++ b/src/gateway/quotagate.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t MaxLargest = 16;
 /// Accounts with series of their own during the life of the process.
 constexpr std::size_t MaxCounted = 64;
+/// Part of an account's capacity that requests past their objective leave to
+/// those that can still be answered in time. A bucket over it refuses nobody.
+constexpr double KeptFromLate = 0.5;
 const std::string AdmittedName = "tarragon_quota_admitted_total";
 const std::string RefusedName = "tarragon_quota_refused_total";
 
@@ -58,9 +61,10 @@
       .first->second;
 }
 
-auto quota_gate::tryAcquire(const route::account &Account, const time_point Now)
-    -> account::quota_decision {
-  const auto Decision = Ledger.tryAcquire(Account.Name, Now);
+auto quota_gate::tryAcquire(const route::account &Account, const bool IsLate,
+                            const time_point Now) -> account::quota_decision {
+  const auto Decision =
+      Ledger.tryAcquire(Account.Name, Now, IsLate ? KeptFromLate : 0);
   const counters &Series = countersOf(Account.Name);
   (Decision.IsAdmitted ? Series.Admitted : Series.Refused)->add();
   return Decision;
--- a/src/gateway/quotagate.h
+++ b/src/gateway/quotagate.h
@@ -24,8 +24,9 @@
   auto setAccounts(const std::vector<route::account> &Accounts, time_point Now)
       -> void;
 
-  /// Takes a token of \p Account.
-  auto tryAcquire(const route::account &Account, time_point Now)
+  /// Takes a token of \p Account. \p IsLate: the objective of the request has
+  /// passed, so it gives way to others while the account nears its limit.
+  auto tryAcquire(const route::account &Account, bool IsLate, time_point Now)
       -> account::quota_decision;
 
   auto ledger() -> account::quota_ledger & { return Ledger; }
--- a/src/gateway/tests/quota_tests.cpp
+++ b/src/gateway/tests/quota_tests.cpp
@@ -26,7 +26,8 @@
 /// A gateway with the account a, which has a limit, and b, which has none.
 struct quota_case : gateway_case {
   explicit quota_case(const double Rate, const bool IsAlone) {
-    Gateway.setQuota(account::quota_limits{5000ms, 0.1, 20});
+    // With this slack, a start without known levels has one token.
+    Gateway.setQuota(account::quota_limits{5000ms, 0.1, 5});
     account::quota_peers Peers;
     Peers.IsServing = true;
     Peers.IsAlone = IsAlone;
@@ -75,6 +76,17 @@
              1U);
 }
 
+// Guards against tokens that repeated requests, which are late in any case,
+// take from those that can still be answered in time.
+BOOST_AUTO_TEST_CASE(a_late_request_leaves_the_last_tokens_to_others) {
+  quota_case Case(2, true);
+  auto &Target = Case.target("t0", "s0", success);
+  const std::string Late = std::string(KeyA) + "Deadline: 600\r\n";
+  BOOST_TEST(status(Case.get("/one/1", Late)) == "429");
+  BOOST_TEST(Target.requests().empty());
+  BOOST_TEST(status(Case.get("/one/1", KeyA)) == "200");
+}
+
 // Guards against a bucket that is full at an instance without peers.
 BOOST_AUTO_TEST_CASE(an_instance_that_knows_no_peer_admits_from_a_floor) {
   quota_case Case(0.01, false);
