--- a/src/account/quotaledger.h
+++ b/src/account/quotaledger.h
@@ -37,8 +37,10 @@
   /// report.
   auto isActive() const -> bool { return !Usages.empty(); }
 
-  /// Takes a token of \p Account; admits an account without a limit.
-  auto tryAcquire(std::string_view Account, time_point Now) -> quota_decision;
+  /// Takes a token of \p Account; admits an account without a limit. \p Kept is
+  /// the part of the account's capacity that must be left for other requests.
+  auto tryAcquire(std::string_view Account, time_point Now, double Kept = 0)
+      -> quota_decision;
 
   /// Returns the token of a request that was not sent.
   auto refund(std::string_view Account, time_point Now) -> void;
@@ -68,6 +70,9 @@
 private:
   using usages = std::unordered_map<std::uint64_t, account_usage>;
 
+  /// Starts anew if the timer has not run for long. Requests and reports may be
+  /// handled before the timer when the process resumes.
+  auto checkSuspension(time_point Now) -> void;
   auto advance(time_point Now) -> void;
   /// Applies changes of the reserved shares to all buckets.
   auto applySteps() -> void;
--- /dev/null
+++ b/src/fleet/fleetreports.cpp
@@ -0,0 +1,43 @@
+// Reports to the instances that serve callers.
+#include "fleet/fleetlink.h"
+
+#include "fleet/internal/hostport.h"
+
+#include <set>
+
+namespace tarragon::fleet {
+
+using internal::endpointOf;
+using internal::splitAddress;
+
+auto fleet_link::sendCrashReport(const admission::crash_report &Report)
+    -> void {
+  sendToServing({makeAnnouncement(), ownStatus(), {Report}, {}});
+}
+
+auto fleet_link::sendLeaving(const leaving_target &Target) -> void {
+  sendToServing({makeAnnouncement(), ownStatus(), {}, {Target}});
+}
+
+auto fleet_link::sendUsage(const account::usage_report &Report,
+                           const std::vector<address> &Others) -> void {
+  std::set<address> Receivers(Others.begin(), Others.end());
+  for (const instance &Member : serving())
+    Receivers.insert(Member.PeerAddress);
+  Receivers.erase(Settings.Self.PeerAddress);
+  const fleet_datagram Datagram{
+      makeAnnouncement(), ownStatus(), {}, {}, Report};
+  for (const address &Receiver : Receivers)
+    sendDatagram(endpointOf<boost::asio::ip::udp>(splitAddress(Receiver)),
+                 Datagram);
+}
+
+auto fleet_link::sendToServing(const fleet_datagram &Datagram) -> void {
+  for (const instance &Member : serving())
+    if (Member.Id != Settings.Self.Id)
+      sendDatagram(
+          endpointOf<boost::asio::ip::udp>(splitAddress(Member.PeerAddress)),
+          Datagram);
+}
+
+} // namespace tarragon::fleet
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,6 +79,8 @@
   BudgetInstances = Settings.Retries.Instances;
   BudgetInstancesAt = std::chrono::steady_clock::now();
   Targets.setConnectionLimits({}, Settings.Retries.Instances);
+  Targets.cold().setSelf(Settings.CallerAddress, Settings.IsOnlyInstance);
+  Targets.cold().setLimits(Settings.ColdLimits);
   UsedCoresReadAt = std::chrono::steady_clock::now();
   setQuota(Settings.Quota);
   sweep();
@@ -95,7 +97,7 @@
   if (Routes->Version <= version())
     return;
   Targets.setConnectionLimits(Routes->MaxConnections, Targets.instances());
-  Targets.setColdStarts(Routes->ColdStarts);
+  Targets.setColdStarts(Routes->ColdStarts, std::chrono::steady_clock::now());
   for (auto At = Latencies.begin(); At != Latencies.end();) {
     const bool Kept = std::any_of(
         Routes->Routes.begin(), Routes->Routes.end(),
@@ -165,10 +167,12 @@
   std::string Usable;
   std::string Unusable;
   for (const route::target_registry::change &Change : Changes) {
+    if (Change.OnlyCold)
+      continue;
     std::string &Ids = Change.Usable ? Usable : Unusable;
     Ids += (Ids.empty() ? "" : ",") + Change.Id;
   }
-  if (!Changes.empty())
+  if (!Usable.empty() || !Unusable.empty())
     log::write(log::level::Info, log::part::Membership, "targets changed",
                {{"get_work", Usable}, {"get_none", Unusable}});
 }
@@ -316,7 +320,7 @@
       admission::poison_verdict::Held)
     return refuse(Session, Request,
                   {503, "held: it crashed targets", PoisonHold});
-  if (!admitByQuota(Session, Request, Account, Now))
+  if (!admitByQuota(Session, Request, *Route, Account, Now))
     return;
   placement::plan_settings Plan = makePlanSettings(*Route, Request);
   Plan.Priority = account::priorityOf(*Route, Account);
