Choose among targets by the load that they report

Cause: instances know a target's load only from their own attempts, so that targets are overloaded in turns while siblings idle.

Change: the gateway parses the load header of every complete answer that isn't misdirected, also of shed ones, and stores it for that incarnation. load_estimate weights it by age and adds the attempts in flight; news_trust lowers its weight when it doesn't predict latencies; choice_spread makes instances choose differently. The status view shows the reports.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,6 +69,7 @@
       ClockOffset(bootTime() - std::chrono::steady_clock::now()),
       SweepTimer(NewLoop),
       WarmNotBefore(std::chrono::steady_clock::now() + PeerDiscoveryTime) {
+  Targets.setSpreadSeed(Random());
   Budgets.setLimits(Settings.Retries);
   BudgetInstances = Settings.Retries.Instances;
   BudgetInstancesAt = std::chrono::steady_clock::now();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -139,6 +139,11 @@
   auto recordNotices(const std::string &Target, std::int64_t StartedAtMs,
                      const exchange_answer &Answer) -> void;
 
+  /// Records the load that a target reports in an answer; an invalid report is
+  /// ignored.
+  auto recordLoad(const std::string &Target, std::int64_t StartedAtMs,
+                  const exchange_answer &Answer) -> void;
+
   /// Stops sending new requests to the incarnation of \p Target that started at
   /// \p StartedAtMs.
   auto markLeaving(const std::string &Target, std::int64_t StartedAtMs) -> void;
--- a/src/gateway/gatewayevents.cpp
+++ b/src/gateway/gatewayevents.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/activerequest.h"
 #include "gateway/internal/answerwriter.h"
+#include "gateway/internal/loadheader.h"
 #include "global/boottime.h"
 #include "global/log.h"
 
@@ -35,6 +36,7 @@
     if (IsNews && LeavingHandler)
       LeavingHandler(Target, StartedAtMs);
   }
+  recordLoad(Target, StartedAtMs, Answer);
   if (Answer.Status != StatusUnavailable)
     return;
   const std::string *Text = Answer.find("Retry-After");
@@ -52,6 +54,18 @@
   Targets.close(Target, Now + *Pause);
 }
 
+auto gateway::recordLoad(const std::string &Target,
+                         const std::int64_t StartedAtMs,
+                         const exchange_answer &Answer) -> void {
+  if (Settings.Names.Load.empty())
+    return;
+  const std::string *Text = Answer.find(Settings.Names.Load);
+  const auto Load = Text ? internal::parseLoad(*Text) : std::nullopt;
+  if (Load)
+    Targets.recordLoad(Target, StartedAtMs, *Load,
+                       std::chrono::steady_clock::now());
+}
+
 auto gateway::checkCrash(admission::crashed_run Run) -> void {
   const route::target_entry *Entry = Targets.registry().find(Run.Target);
   if (!Entry)
--- a/src/gateway/statusview.cpp
+++ b/src/gateway/statusview.cpp
@@ -36,6 +36,19 @@
   return Rows;
 }
 
+auto viewLoad(const placement::load_estimate &Load, const time_point Now)
+    -> Json::Value {
+  Json::Value Row;
+  Row["running"] = Load.told()->Running;
+  Row["waiting"] = Load.told()->Waiting;
+  Row["slots"] = Load.told()->Slots;
+  if (Load.told()->Pace > 0)
+    Row["pace"] = rounded(Load.told()->Pace);
+  Row["age_ms"] = inMilliseconds(
+      std::chrono::duration_cast<microseconds>(Now - Load.toldAt()));
+  return Row;
+}
+
 auto viewTarget(gateway &Gateway, const route::target_entry &Entry,
                 const microseconds MedianLatency, const time_point Now)
     -> Json::Value {
@@ -51,6 +64,10 @@
   Row["slowness"] = rounded(Health.Slowness);
   Row["refusals"] = rounded(Health.Refusals);
   Row["outstanding"] = Health.Outstanding;
+  const placement::load_estimate &Load =
+      Gateway.targets().health(Entry.Id).load();
+  if (Load.told())
+    Row["load"] = viewLoad(Load, Now);
   return Row;
 }
 
@@ -106,6 +123,7 @@
   Value["version"] = Json::UInt64{Gateway.version()};
   Value["at_hand"] = Json::UInt64{Gateway.requestsInFlight()};
   Value["routes"] = viewRoutes(Gateway);
+  Value["load_trust"] = rounded(Gateway.targets().newsTrust());
   Value["targets"] = Json::Value(Json::arrayValue);
   Value["budgets"] = Json::Value(Json::arrayValue);
   std::string Service;
--- a/src/gateway/tests/gatewaycase.h
+++ b/src/gateway/tests/gatewaycase.h
@@ -18,8 +18,8 @@
 }
 
 inline auto headerNames() -> header_names {
-  return {"Id",      "Left",   "For",     "Stamp",
-          "Not-Run", "Stamps", "Missing", "Leaving"};
+  return {"Id",     "Left",    "For",     "Stamp", "Not-Run",
+          "Stamps", "Missing", "Leaving", "Load"};
 }
 
 inline auto headerValue(const std::string &Message, const std::string &Name)
--- a/src/gateway/types/headernames.h
+++ b/src/gateway/types/headernames.h
@@ -15,6 +15,7 @@
   std::string PartStamps;     ///< stamps of the parts of a merged answer
   std::string MissingParts;   ///< number of parts missing from a merged answer
   std::string Leaving;        ///< "1" from a target that is about to stop
+  std::string Load;           ///< load of a target at the end of its answer
 };
 
 } // namespace tarragon::gateway
--- a/src/placement/targethealth.cpp
+++ b/src/placement/targethealth.cpp
@@ -42,6 +42,7 @@
 auto target_health::onSent(const time_point Now) -> void {
   if (Outstanding++ == 0)
     WaitingSince = Now;
+  Load.onSent(Now);
 }
 
 auto target_health::blockAfterFailure(const time_point Now) -> void {
@@ -54,6 +55,11 @@
 auto target_health::onEnded(const attempt_end End, const microseconds Latency,
                             const microseconds MedianLatency,
                             const time_point Now) -> void {
+  // An abandoned attempt that waited for long was not about to be answered.
+  const bool IsMeasure =
+      End == attempt_end::Answered ||
+      (End == attempt_end::Abandoned && Latency > MedianLatency);
+  Load.onEnded(Now - Latency, Latency, IsMeasure, MedianLatency);
   const bool WasSilent = isSilent(MedianLatency, Now);
   Outstanding = std::max(0, Outstanding - 1);
   const double DecayedSlowness = slowness(Now);
--- a/src/placement/targethealth.h
+++ b/src/placement/targethealth.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "global/types/time.h"
+#include "placement/loadestimate.h"
 #include "placement/types/attemptend.h"
 #include "placement/types/targethealthreport.h"
 
@@ -65,6 +66,19 @@
   auto cost(microseconds MedianLatency, time_point Now,
             double RefusalCost = UsualRefusalCost) const -> double;
 
+  /// Returns the cost with the target's reported load taken into account:
+  /// \p OwnCost if it reports none. See load_estimate::cost().
+  auto costByLoad(const double OwnCost, const double WorkShare,
+                  const microseconds MedianLatency, const time_point Now) const
+      -> double {
+    return Load.cost(OwnCost, WorkShare, MedianLatency, SlotShare * Outstanding,
+                     Now);
+  }
+
+  /// Returns the load as estimated from the target's reports.
+  auto load() -> load_estimate & { return Load; }
+  auto load() const -> const load_estimate & { return Load; }
+
   /// The cost of a refusal that a retry makes up for, in median latencies.
   static constexpr double UsualRefusalCost = 6;
 
@@ -101,6 +115,7 @@
   /// Maximum of attempts in flight since the target was closed; 0: as usual.
   int ReopenLimit = 0;
   time_point SlowStartEnd;
+  load_estimate Load;
 };
 
 } // namespace tarragon::placement
--- a/src/placement/targetset.cpp
+++ b/src/placement/targetset.cpp
@@ -9,6 +9,10 @@
 
 /// Prefers targets in the own failure domain at similar cost.
 constexpr double OwnDomainCostFactor = 0.7;
+/// The same preference among targets that report their load. It reduces the
+/// work only, not the wait: a full target of the own failure domain costs more
+/// than a free one in another.
+constexpr double OwnDomainWorkShare = 0.5;
 constexpr double SilentCostFactor = 20;
 /// The usable share of a target's connections. The rest covers handovers
 /// between instances and attempts that are being closed.
@@ -46,6 +50,7 @@
   Health.setMaxOutstanding(connectionShare(Entry.Service));
   Health.setSlotShare(static_cast<double>(Instances) /
                       std::max(1, Entry.Slots));
+  Health.load().setTrust(Trust);
 }
 
 auto target_set::connectionShare(const std::string &Service) const -> int {
@@ -83,8 +88,12 @@
     if (Health.isUnavailable(MedianLatency, Now))
       continue;
     double Cost = Health.cost(MedianLatency, Now, RefusalCost);
-    if (Entry->FailureDomain == OwnDomain)
+    const bool IsOwnDomain = Entry->FailureDomain == OwnDomain;
+    if (IsOwnDomain)
       Cost *= OwnDomainCostFactor;
+    if (Health.load().told())
+      Cost = Spread.apply(Health.costByLoad(
+          Cost, IsOwnDomain ? OwnDomainWorkShare : 1, MedianLatency, Now));
     if (Health.isSilent(MedianLatency, Now))
       Cost *= SilentCostFactor;
     if (Cost >= LowestCost)
@@ -95,6 +104,15 @@
   return Best;
 }
 
+auto target_set::recordLoad(const std::string &Id,
+                            const std::int64_t StartedAtMs,
+                            const told_load &Load, const time_point Now)
+    -> void {
+  const route::target_entry *Entry = Registry.find(Id);
+  if (Entry && Entry->StartedAtMs == StartedAtMs)
+    HealthByTarget[Id].load().record(Load, Now);
+}
+
 auto target_set::isServiceDown(const std::string &Service,
                                const microseconds MedianLatency,
                                const time_point Now) const -> bool {
--- a/src/placement/targetset.h
+++ b/src/placement/targetset.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "placement/choicespread.h"
+#include "placement/newstrust.h"
 #include "placement/targethealth.h"
 #include "route/targetregistry.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -39,6 +42,20 @@
               double RefusalCost = target_health::UsualRefusalCost)
       -> const route::target_entry *;
 
+  /// Seeds the order in which equally loaded targets are chosen. Instances that
+  /// choose at the same moment must not have the same seed.
+  auto setSpreadSeed(std::uint64_t Seed) -> void {
+    Spread = choice_spread(Seed);
+  }
+
+  /// Records the load that the incarnation of \p Id that started at
+  /// \p StartedAtMs reported. Ignored for an unknown one.
+  auto recordLoad(const std::string &Id, std::int64_t StartedAtMs,
+                  const told_load &Load, time_point Now) -> void;
+
+  /// Returns how far reported loads are believed, from 0 to 1.
+  auto newsTrust() const -> double { return Trust->value(); }
+
   /// Returns whether every target of \p Service is down, or there is none.
   auto isServiceDown(const std::string &Service, microseconds MedianLatency,
                      time_point Now) const -> bool;
@@ -85,6 +102,8 @@
   std::map<std::string, int> MaxConnections;
   int Instances = 1;
   std::size_t Rotation = 0; ///< rotates among targets of equal cost
+  choice_spread Spread{0};
+  std::shared_ptr<news_trust> Trust = std::make_shared<news_trust>();
 };
 
 } // namespace tarragon::placement
