--- a/src/placement/tests/evenload_tests.cpp
+++ b/src/placement/tests/evenload_tests.cpp
@@ -92,6 +92,11 @@
     Both.LostToday += static_cast<double>(Today.Lost);
     Both.LostReported += static_cast<double>(Reported.Lost);
   }
+  const auto Count = static_cast<double>(Seeds);
+  BOOST_TEST_MESSAGE("mean of full "
+                     << Both.FullToday / Count << " -> "
+                     << Both.FullReported / Count << ", change of p99 in ms "
+                     << Both.meanTailChange() << " +- " << Both.tailError());
   return Both;
 }
 
@@ -125,31 +130,21 @@
 // of today's attempts at full targets is not reached; see
 // docs/design/evenload.md.
 BOOST_AUTO_TEST_CASE(reported_load_evens_out_three_targets_of_a_shard) {
-  for (const int Instances : {8, 40, 144})
-    for (const double Load : {0.5, 0.8}) {
-      settings Settings;
-      Settings.Instances = Instances;
-      Settings.Load = Load;
-      Settings.HasPace = true;
-      const comparison Both = compare(Settings, 3);
-      BOOST_TEST(Both.FullReported < Both.FullToday);
-      BOOST_TEST(Both.Busiest <= 1.25);
-      BOOST_TEST(Both.meanTailChange() <= Both.tailError());
-    }
-}
-
-// The same if targets report no pace. The tail isn't checked here: at 8
-// instances and 0.8 it is 2 % longer than without reports.
-BOOST_AUTO_TEST_CASE(reported_load_without_pace_evens_out_three_targets) {
-  for (const int Instances : {8, 40, 144})
-    for (const double Load : {0.5, 0.8}) {
-      settings Settings;
-      Settings.Instances = Instances;
-      Settings.Load = Load;
-      const comparison Both = compare(Settings, 1);
-      BOOST_TEST(Both.FullReported < Both.FullToday);
-      BOOST_TEST(Both.Busiest <= 1.25);
-    }
+  for (const bool HasPace : {false, true})
+    for (const int Instances : {8, 40, 144})
+      for (const double Load : {0.5, 0.8}) {
+        settings Settings;
+        Settings.Instances = Instances;
+        Settings.Load = Load;
+        Settings.HasPace = HasPace;
+        // The 99th of 100 parts meets a pause or a slow target, which are few:
+        // three seeds of 6 s differ by more than the effect.
+        Settings.Duration = 8000ms;
+        const comparison Both = compare(Settings, 6);
+        BOOST_TEST(Both.FullReported < Both.FullToday);
+        BOOST_TEST(Both.Busiest <= 1.25);
+        BOOST_TEST(Both.meanTailChange() <= Both.tailError());
+      }
 }
 
 // Nine targets, one of them 2.5 times slower, for single requests.
--- a/src/placement/tests/loadsimulation.cpp
+++ b/src/placement/tests/loadsimulation.cpp
@@ -57,10 +57,9 @@
 
 auto load_simulation::isSlow(const int Target) const -> bool {
   const auto Epoch = (Now - Start) / SlowFor;
-  std::mt19937_64 Random(Settings.Seed * 7919 +
-                         static_cast<std::uint64_t>(Epoch) * 1009 +
-                         static_cast<std::uint64_t>(Target));
-  return static_cast<double>(Random() >> 11) * 0x1.0p-53 < SlowShare;
+  std::minstd_rand Random(static_cast<std::uint32_t>(hash64(
+      std::to_string(Epoch) + '.' + std::to_string(Target), Settings.Seed)));
+  return std::uniform_real_distribution<>(0, 1)(Random) < SlowShare;
 }
 
 auto load_simulation::speed(const int Target) const -> double {
