--- a/src/placement/tests/loadsimulation.cpp
+++ b/src/placement/tests/loadsimulation.cpp
@@ -3,6 +3,7 @@
 #include "global/hash.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 
