--- a/src/gateway/types/headernames.h
+++ b/src/gateway/types/headernames.h
@@ -18,6 +18,7 @@
   std::string Key;            ///< a caller's key of its account
   std::string Account;        ///< name of the account, for targets
   std::string ColdFor;        ///< remaining cold time of a target in ms
+  std::string Load;           ///< load of a target at the end of its answer
 };
 
 } // namespace tarragon::gateway
