--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,11 +4,13 @@
 #include "admission/crashgroups.h"
 #include "admission/poisontracker.h"
 #include "gateway/connectionpool.h"
+#include "gateway/queryrefusals.h"
 #include "gateway/types/callerrequest.h"
 #include "gateway/types/gatewaysettings.h"
 #include "gateway/types/servingstate.h"
 #include "global/linelimiter.h"
 #include "placement/latencymodel.h"
+#include "placement/queryadmission.h"
 #include "placement/retrybudgettable.h"
 #include "placement/targetset.h"
 #include "placement/types/plansettings.h"
@@ -123,6 +125,8 @@
   auto loop() -> boost::asio::io_context & { return Loop; }
   auto settings() const -> const gateway_settings & { return Settings; }
   auto budgets() -> placement::retry_budget_table & { return Budgets; }
+  auto admission() -> placement::query_admission & { return Admission; }
+  auto queryRefusals() -> query_refusals & { return QueryRefusals; }
   auto metrics() -> report::metrics_registry & { return Metrics; }
   auto poison() -> admission::poison_tracker & { return Poison; }
   auto memory() const -> const receive_budget & { return *Memory; }
@@ -165,6 +169,11 @@
   auto recordNotices(const std::string &Target, std::int64_t StartedAtMs,
                      const exchange_answer &Answer) -> void;
 
+  /// Records the load that a target reports in an answer; an invalid report is
+  /// ignored.
+  auto recordLoad(const std::string &Target, std::int64_t StartedAtMs,
+                  const exchange_answer &Answer) -> void;
+
   /// Stops sending new requests to the incarnation of \p Target that started at
   /// \p StartedAtMs.
   auto markLeaving(const std::string &Target, std::int64_t StartedAtMs) -> void;
@@ -249,6 +258,8 @@
   std::shared_ptr<receive_budget> Memory;
   placement::target_set Targets;
   placement::retry_budget_table Budgets;
+  placement::query_admission Admission;
+  query_refusals QueryRefusals;
   admission::crash_groups Crashes;
   admission::poison_tracker Poison;
   route::weighted_round_robin RoundRobin;
--- a/src/placement/requestplan.cpp
+++ b/src/placement/requestplan.cpp
@@ -1,5 +1,6 @@
 #include "placement/requestplan.h"
 
+#include "placement/internal/retrycosts.h"
 #include "placement/latencymodel.h"
 #include "placement/retrybudgettable.h"
 #include "placement/targetset.h"
@@ -10,6 +11,9 @@
 
 namespace {
 
+using internal::AmpleRetryShare;
+using internal::LostPartCost;
+
 /// The hedge delay is this latency quantile times a factor that grows from
 /// MinHedgeFactor to MaxHedgeFactor as the hedge budget runs out.
 constexpr double HedgeQuantile = 0.75;
@@ -18,12 +22,6 @@
 /// From this remaining share of the budget up, the factor is MinHedgeFactor.
 constexpr double AmpleBudgetShare = 0.4;
 constexpr microseconds MinHedgeDelay{4000};
-/// The cost, in median latencies, of a refusal that no retry makes up for: the
-/// part is missing, and often the whole answer fails.
-constexpr double LostPartCost = 20;
-/// From this remaining share of the retry budget up, a refused first attempt is
-/// expected to be retried.
-constexpr double AmpleRetryShare = 0.2;
 /// How often a part without an available target looks for one again.
 constexpr milliseconds CapacityCheckInterval{10};
 /// How often the health of targets with attempts in flight is checked.
@@ -34,20 +32,21 @@
 request_plan::request_plan(context NewContext, plan_settings NewSettings)
     : Context(NewContext), Settings(std::move(NewSettings)) {
   for (const std::string &Service : Settings.Services)
-    Parts.push_back({Service, {}, {}, {}, false, false, false});
+    Parts.push_back({Service, {}, {}, {}, false, false, false, {}, {}});
 }
 
 auto request_plan::start(const time_point Now) -> plan_actions {
   plan_actions Actions;
   std::size_t DownParts = 0;
-  for (const part &Part : Parts) {
-    Context.Budgets.budget(Part.Service).addRequest(Now);
+  for (const part &Part : Parts)
     DownParts += isServiceDown(Part, Now) ? 1 : 0;
-  }
-  if (Parts.size() - DownParts < Settings.MinParts) {
+  if (Parts.size() - DownParts < Settings.MinParts ||
+      !tryAdmit(DownParts, Now)) {
     finish(plan_verdict::NotRun, Now, Actions);
     return Actions;
   }
+  for (const part &Part : Parts)
+    Context.Budgets.budget(Part.Service).addRequest(Now);
   skipLateParts(DownParts, Now);
   for (std::size_t Index = 0; Index < Parts.size(); ++Index)
     if (!Parts[Index].Skipped)
@@ -67,7 +66,11 @@
   for (part &Part : Parts) {
     const microseconds Latency = Context.Targets.expectedLatency(
         Part.Service, Context.Latencies.median(), Now);
-    if (Latency > TimeLeft && !isServiceDown(Part, Now))
+    const bool IsLate =
+        Latency > TimeLeft ||
+        std::find(Admission.Unlikely.begin(), Admission.Unlikely.end(),
+                  Part.Service) != Admission.Unlikely.end();
+    if (IsLate && !isServiceDown(Part, Now))
       LateParts.emplace_back(Latency, &Part);
   }
   std::sort(LateParts.rbegin(), LateParts.rend());
@@ -93,6 +96,7 @@
 auto request_plan::sendFirst(const std::size_t Index, const time_point Now,
                              plan_actions &Actions) -> void {
   part &Part = Parts[Index];
+  openPart(Part, Now);
   const auto *Target = Context.Targets.choose(Part.Service, Part.Tried,
                                               Context.Latencies.median(), Now,
                                               refusalCost(Part, Now));
@@ -189,7 +193,7 @@
         Settings.Repeatability == route::repeatability::Idempotent ||
         !mayHaveRun(End);
     if (MayRetry)
-      sendExtra(Key.Part, false, Now, Actions);
+      retry(Key.Part, Now, Actions);
   }
   finishOrScheduleWake(Now, Actions);
   return Actions;
@@ -202,12 +206,16 @@
   const bool HasTime = Now < Settings.Deadline;
   for (std::size_t Index = 0; HasTime && Index < Parts.size(); ++Index) {
     part &Part = Parts[Index];
+    if (Part.RetryAt)
+      continue;
     if (Part.Waiting)
       sendFirst(Index, Now, Actions);
     else if (mayHedge(Part) && Now >= Part.HedgeAt &&
              !sendExtra(Index, true, Now, Actions))
       Part.HedgeAt = Now + CapacityCheckInterval;
   }
+  if (HasTime)
+    decideRetries(Now, Actions);
   finishOrScheduleWake(Now, Actions);
   return Actions;
 }
@@ -221,6 +229,7 @@
   plan_actions Actions;
   for (std::size_t Index = 0; Index < Parts.size(); ++Index)
     cancelInFlight(Index, Now, Actions);
+  endAdmission(plan_verdict::Answer, Now);
   Finished = true;
   return Actions;
 }
@@ -240,6 +249,7 @@
 auto request_plan::cancelInFlight(const std::size_t Index, const time_point Now,
                                   plan_actions &Actions) -> void {
   part &Part = Parts[Index];
+  closePart(Part, Now);
   for (std::size_t Number = 0; Number < Part.Attempts.size(); ++Number) {
     attempt &Attempt = Part.Attempts[Number];
     if (Attempt.End)
@@ -285,7 +295,8 @@
     const bool InFlight =
         std::any_of(Part.Attempts.begin(), Part.Attempts.end(),
                     [](const attempt &A) { return !A.End; });
-    if (!InFlight && (!Part.Waiting || isServiceDown(Part, Now)))
+    if (!InFlight && !Part.RetryAt &&
+        (!Part.Waiting || isServiceDown(Part, Now)))
       continue;
     ++Counts.Open;
     // A run that may not be repeated is worth waiting for: its target may only
@@ -349,6 +360,7 @@
                           plan_actions &Actions) -> void {
   for (std::size_t Index = 0; Index < Parts.size(); ++Index)
     cancelInFlight(Index, Now, Actions);
+  endAdmission(Verdict, Now);
   Finished = true;
   finish_plan Finish{Verdict, Failure.value_or(attempt_key{}), {}};
   if (Verdict != plan_verdict::Answer)
@@ -356,21 +368,14 @@
   Actions.push_back(Finish);
 }
 
-auto request_plan::retryDelay(const time_point Now) const -> milliseconds {
-  milliseconds MaxDelay{0};
-  for (const part &Part : Parts)
-    if (!Part.Answered)
-      MaxDelay =
-          std::max(MaxDelay, Context.Targets.retryDelay(Part.Service, Now));
-  return MaxDelay;
-}
-
 auto request_plan::scheduleWake(const time_point Now) -> void {
   Wake = Settings.Deadline;
   if (Now < Settings.EarlyAt)
     Wake = std::min(Wake, Settings.EarlyAt);
   for (const part &Part : Parts) {
-    if (Part.Waiting)
+    if (Part.RetryAt)
+      Wake = std::min(Wake, std::max(*Part.RetryAt, Now));
+    else if (Part.Waiting)
       Wake = std::min(Wake, Now + CapacityCheckInterval);
     else if (mayHedge(Part))
       Wake = std::min(Wake, std::max(Part.HedgeAt, Now));
@@ -379,16 +384,4 @@
   }
 }
 
-auto request_plan::isComplete() const -> bool {
-  return std::all_of(Parts.begin(), Parts.end(),
-                     [](const part &Part) { return Part.Answered; });
-}
-
-auto request_plan::extraAttempts() const -> std::size_t {
-  std::size_t Extra = 0;
-  for (const part &Part : Parts)
-    Extra += Part.Attempts.empty() ? 0 : Part.Attempts.size() - 1;
-  return Extra;
-}
-
 } // namespace tarragon::placement
--- a/src/placement/requestplan.h
+++ b/src/placement/requestplan.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "placement/types/admissiondecision.h"
+#include "placement/types/admissionticket.h"
 #include "placement/types/attemptend.h"
 #include "placement/types/planaction.h"
 #include "placement/types/plansettings.h"
@@ -11,6 +13,7 @@
 namespace tarragon::placement {
 
 class latency_model;
+class query_admission;
 class retry_budget_table;
 class target_set;
 
@@ -32,7 +35,8 @@
   struct context {
     target_set &Targets;
     retry_budget_table &Budgets;
-    latency_model &Latencies; ///< of this kind of request
+    latency_model &Latencies;             ///< of this kind of request
+    query_admission *Admission = nullptr; ///< null: all queries are admitted
   };
 
   request_plan(context Context, plan_settings Settings);
@@ -68,6 +72,9 @@
   /// Returns whether every part was answered.
   auto isComplete() const -> bool;
 
+  /// Returns the decision on the admission of the query.
+  auto admission() const -> const admission_decision & { return Admission; }
+
   /// Returns the number of attempts beyond the first of each part.
   auto extraAttempts() const -> std::size_t;
 
@@ -85,6 +92,10 @@
     bool Answered = false;
     bool Waiting = false; ///< no target is available
     bool Skipped = false; ///< not sent, as it would be answered too late
+    /// When to decide on a retry that waits for the ends of other attempts.
+    std::optional<time_point> RetryAt;
+    /// While the part is open, if admission is decided.
+    std::optional<admission_ticket> Ticket;
   };
   struct part_counts {
     std::size_t Answered = 0;
@@ -92,12 +103,30 @@
     std::size_t Unrecoverable = 0; ///< open, but all targets are unresponsive
   };
 
+  /// Refuses the query if too few parts are likely to be answered in time.
+  auto tryAdmit(std::size_t DownParts, time_point Now) -> bool;
+  auto openPart(part &Part, time_point Now) -> void;
+  auto closePart(part &Part, time_point Now) -> void;
+  auto endAdmission(plan_verdict Verdict, time_point Now) -> void;
   auto skipLateParts(std::size_t DownParts, time_point Now) -> void;
   auto sendSkipped(time_point Now, plan_actions &Actions) -> bool;
   auto sendFirst(std::size_t Index, time_point Now, plan_actions &Actions)
       -> void;
   auto sendExtra(std::size_t Index, bool IsHedge, time_point Now,
                  plan_actions &Actions) -> bool;
+  /// Retries a part whose attempt ended without an answer. While the budget is
+  /// scarce, the decision waits until the other targets have shed or accepted
+  /// theirs: the budget goes to queries that few retries complete.
+  auto retry(std::size_t Index, time_point Now, plan_actions &Actions) -> void;
+  /// Decides on the retries that are due, if any.
+  auto decideRetries(time_point Now, plan_actions &Actions) -> void;
+  /// Leaves the retries \p Due to other queries, which need fewer.
+  auto forgo(const std::vector<std::pair<double, std::size_t>> &Due,
+             time_point Now) -> void;
+  /// Returns the number of parts that must be retried for the minimum.
+  auto neededRetries() const -> std::size_t;
+  /// Returns the probability that the best untried target runs \p Part.
+  auto runShare(const part &Part, time_point Now) const -> double;
   auto send(std::size_t Index, const route::target_entry &Target,
             time_point Now, plan_actions &Actions) -> void;
   /// Returns the cost of a refusal of the next attempt of \p Part, in median
@@ -124,6 +153,8 @@
   std::optional<attempt_key> Failure;
   time_point Wake;
   time_point LastOutageCheck;
+  admission_decision Admission;
+  bool CountsAsOpen = false; ///< as an open query of the admission
   bool Finished = false;
 };
 
--- a/src/placement/targetset.cpp
+++ b/src/placement/targetset.cpp
@@ -10,6 +10,10 @@
 
 /// Prefers targets in the own failure domain at similar cost.
 constexpr double OwnDomainCostFactor = 0.7;
+/// The same preference among targets that report their load. It reduces the
+/// work only, not the wait: a full target of the own failure domain costs more
+/// than a free one in another.
+constexpr double OwnDomainWorkShare = 0.5;
 constexpr double SilentCostFactor = 20;
 /// Of a target that gets only a share of the choices after its return.
 constexpr double HeldBackCostFactor = 20;
@@ -88,6 +92,7 @@
   Health.setMaxOutstanding(connectionShare(Entry.Service));
   Health.setSlotShare(static_cast<double>(Instances) /
                       std::max(1, Entry.Slots));
+  Health.load().setTrust(Trust);
 }
 
 auto target_set::connectionShare(const std::string &Service) const -> int {
@@ -126,8 +131,12 @@
     if (Health.isUnavailable(MedianLatency, Now) || Cold.isHeld(Entry->Id, Now))
       continue;
     double Cost = Health.cost(MedianLatency, Now, RefusalCost);
-    if (Entry->FailureDomain == OwnDomain)
+    const bool IsOwnDomain = Entry->FailureDomain == OwnDomain;
+    if (IsOwnDomain)
       Cost *= OwnDomainCostFactor;
+    if (Health.load().told())
+      Cost = Spread.apply(Health.costByLoad(
+          Cost, IsOwnDomain ? OwnDomainWorkShare : 1, MedianLatency, Now));
     if (Health.isSilent(MedianLatency, Now))
       Cost *= SilentCostFactor;
     if (Draw >= Health.returnShare(Now))
@@ -140,6 +149,15 @@
   return Best;
 }
 
+auto target_set::recordLoad(const std::string &Id,
+                            const std::int64_t StartedAtMs,
+                            const told_load &Load, const time_point Now)
+    -> void {
+  const route::target_entry *Entry = Registry.find(Id);
+  if (Entry && Entry->StartedAtMs == StartedAtMs)
+    HealthByTarget[Id].load().record(Load, Now);
+}
+
 auto target_set::isServiceDown(const std::string &Service,
                                const microseconds MedianLatency,
                                const time_point Now) const -> bool {
