--- a/src/placement/queryadmission.cpp
+++ b/src/placement/queryadmission.cpp
@@ -19,9 +19,9 @@
 /// The decay time constant, in seconds, of the share of missed queries and of
 /// what was measured of a service.
 constexpr std::chrono::duration<double> DecayTime{2.5};
-/// More than two of the last twenty queries: the two may be chance, as in a
-/// burst that the slots still serve in time.
-constexpr double ActiveMissedShare = 2 * QuerySmoothing;
+/// While fewer queries miss their objective, most of those that a refusal turns
+/// away would have been answered in time.
+constexpr double ActiveMissedShare = 0.2;
 /// The share of its chance with nothing ahead that a query must have left, once
 /// the work ahead occupies all slots: while more queries arrive than can be
 /// served, the work of one that misses its time takes the place of another.
