--- a/src/account/accountusage.h
+++ b/src/account/accountusage.h
@@ -9,7 +9,7 @@
 
 namespace tarragon::account {
 
-/// What one instance knows of the usage of one account with a limit.
+/// The usage of one account with a limit, as one instance knows it.
 struct account_usage {
   /// The usage that a peer reported.
   struct peer_count {
--- a/src/account/quotagroup.cpp
+++ b/src/account/quotagroup.cpp
@@ -76,7 +76,7 @@
 
 auto quota_group::expire(peer &Peer) -> void {
   leave(Peer);
-  // What it admitted meanwhile came from a share that was released: if it is
+  // Its admissions meanwhile came from a share that was released: if it is
   // heard again, its levels count, not its increments.
   renumber(Peer);
   Peer.IsFullyCounted = false;
--- a/src/account/tests/quotasimulation.h
+++ b/src/account/tests/quotasimulation.h
@@ -26,7 +26,7 @@
     std::uint64_t Seed = 1;
   };
 
-  /// What callers do with one account.
+  /// The requests of the callers of one account.
   struct load {
     route::account Account;
     /// Requests per second at a time since the begin of the load.
--- a/src/account/types/usagereport.h
+++ b/src/account/types/usagereport.h
@@ -16,7 +16,7 @@
   auto operator==(const usage_row &) const -> bool = default;
 };
 
-/// What an instance admitted, for the instances that share the quotas. Counts
+/// The admissions of an instance, for those that share the quotas. Counts
 /// are cumulative, so that the next report replaces a lost one.
 struct usage_report {
   std::uint64_t Sequence = 0; ///< increases with each report of an incarnation
--- a/src/placement/types/coldshare.h
+++ b/src/placement/types/coldshare.h
@@ -6,7 +6,8 @@
 
 namespace tarragon::placement {
 
-/// What this instance may send to a cold target, for the status view.
+/// The requests that this instance may send to a cold target, for the status
+/// view.
 struct cold_share {
   std::string Target;
   double RequestsPerSecond = 0; ///< 0: nothing
