Ask the stated targets of the even load

Cause: the tests of the choice by reported load bound stale reports by 1.15 and 1.25 times today's, and ask no third; the stated targets are a third of the attempts at full targets, and nothing worse with reports half a second old. The existing cases stay as they are.

--- a/src/placement/tests/evenload_tests.cpp
+++ b/src/placement/tests/evenload_tests.cpp
@@ -178,6 +178,29 @@
   }
 }
 
+// The stated target, which is not reached: see KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(attempts_at_full_targets_fall_to_a_third) {
+  for (const int Instances : {8, 40, 144}) {
+    settings Settings;
+    Settings.Instances = Instances;
+    Settings.Load = 0.8;
+    const comparison Both = compare(Settings, 1);
+    BOOST_TEST(Both.FullReported <= Both.FullToday / 3);
+  }
+}
+
+// The stated target, which is not reached: see KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(reports_of_half_a_second_ago_make_nothing_worse) {
+  for (const int Instances : {8, 40, 144}) {
+    settings Settings;
+    Settings.Instances = Instances;
+    Settings.NewsDelay = 500ms;
+    Settings.KnowsDelay = false;
+    const comparison Both = compare(Settings, 2);
+    BOOST_TEST(Both.FullReported <= Both.FullToday);
+  }
+}
+
 // Targets report loads of half a second ago as if they were current. Guards
 // against instances that believe them and overload the targets in turns, which
 // triples the attempts at full targets and loses over a hundredth of the parts.
