Review case 9: a planned restart forgets a held request (BUDGET)

A process that starts learns documents, members and quotas from its peers, but not which requests are held for crashing back ends.

--- a/review/standins-2/backend.h
+++ b/review/standins-2/backend.h
@@ -15,9 +15,12 @@
     std::string Zone;
     std::string Ip;
   };
-  /// Returns the status with which a request ends that has run.
+  /// Returns the status with which a request ends that has run, or
+  /// NoAnswer.
   using outcome = std::function<int(const http_message &Request)>;
 
+  static constexpr int NoAnswer = 0;
+
   backend(identity Identity, object_store &Store, case_record &Record)
       : Identity(std::move(Identity)), Store(Store), Record(Record),
         Server([this](byte_stream &Stream) { serve(Stream); }) {}
@@ -40,6 +43,9 @@
     return true;
   }
 
+  /// Refuses further connections, as the first sign of a crash.
+  auto closePort() -> void { Server.closePort(); }
+
   /// Ends it without a word to the store.
   auto crash() -> void { Server.stop(); }
 
@@ -51,9 +57,11 @@
 
 private:
   auto serve(byte_stream &Stream) -> void {
-    while (const auto Request = readMessage(Stream, std::chrono::hours(1)))
-      if (!Stream.write(answer(*Request)))
+    while (const auto Request = readMessage(Stream, std::chrono::hours(1))) {
+      const std::string Answer = answer(*Request);
+      if (Answer.empty() || !Stream.write(Answer))
         return;
+    }
   }
 
   auto answer(const http_message &Request) -> std::string {
--- a/review/standins-2/entryprocess.h
+++ b/review/standins-2/entryprocess.h
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 
@@ -41,6 +42,8 @@
     Id = ::fork();
     if (Id != 0)
       return;
+    // It must not outlive a check that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::setenv("TARRAGONCOVE_NODE_FILE", Path.c_str(), 1);
     const int Log =
         ::open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/review/standins-2/tcpserver.h
+++ b/review/standins-2/tcpserver.h
@@ -36,15 +36,22 @@
       return false;
     Port = ntohs(Address.sin_port);
     Running = true;
+    Accepts = true;
     Acceptor = std::thread([this] { accept(); });
     return true;
   }
 
+  /// Refuses further connections.
+  auto closePort() -> void {
+    if (Accepts.exchange(false))
+      ::shutdown(Listener, SHUT_RDWR);
+  }
+
   /// Closes the port and all connections, as the end of the process does.
   auto stop() -> void {
     if (!Running.exchange(false))
       return;
-    ::shutdown(Listener, SHUT_RDWR);
+    closePort();
     Acceptor.join();
     ::close(Listener);
     std::vector<std::thread> Ended;
@@ -64,7 +71,7 @@
 
 private:
   auto accept() -> void {
-    while (Running) {
+    while (Accepts) {
       const int Socket = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (Socket < 0)
         continue;
@@ -85,6 +92,7 @@
   int Listener = -1;
   int Port = 0;
   std::atomic<bool> Running{false};
+  std::atomic<bool> Accepts{false};
   std::thread Acceptor;
   std::mutex Mutex;
   std::vector<stream_pointer> Streams;
