--- a/review/standins-2/crashingrequest.h
+++ b/review/standins-2/crashingrequest.h
@@ -9,17 +9,17 @@
 class crashing_request {
 public:
   static constexpr const char *Path = "/orders/crash";
-  static constexpr milliseconds WorkBeforeCrash{1300};
   static constexpr milliseconds DownTime{2000};
   static constexpr milliseconds StabilityWindow{4000};
   static constexpr std::size_t MaxLateRetries = 3;
   static constexpr std::size_t CrashesThatCount = 3;
 
-  /// With \p Crashes unset it is a request like others.
+  /// It works for \p WorkTime. With \p Crashes unset it is a request like
+  /// others.
   crashing_request(small_deployment &Deployment, case_record &Record,
-                   const bool Crashes)
-      : Deployment(Deployment), Record(Record), Crashes(Crashes),
-        IsEnding(Deployment.backends().size()) {
+                   const milliseconds WorkTime, const bool Crashes)
+      : Deployment(Deployment), Record(Record), WorkTime(WorkTime),
+        Crashes(Crashes), IsEnding(Deployment.backends().size()) {
     for (std::size_t Number = 0; Number < IsEnding.size(); ++Number)
       Deployment.backends()[Number]->setOutcome(
           [this, Number](const http_message &Request) {
@@ -59,7 +59,7 @@
       const std::lock_guard Lock(Mutex);
       FirstArrivals.try_emplace(Request.field("X-Request-Id"), steady::now());
     }
-    std::this_thread::sleep_for(WorkBeforeCrash);
+    std::this_thread::sleep_for(WorkTime);
     if (!Crashes)
       return 200;
     Deployment.backends()[Number]->closePort();
@@ -100,6 +100,7 @@
 
   small_deployment &Deployment;
   case_record &Record;
+  milliseconds WorkTime;
   bool Crashes;
   std::mutex Mutex;
   std::vector<bool> IsEnding; ///< by back end: it has crashed and isn't back
--- a/review/standins-2/forgetcase.cpp
+++ b/review/standins-2/forgetcase.cpp
@@ -1,6 +1,7 @@
 // One request crashes each back end that runs it, and is held at all machines.
-// One machine is stopped and started again as planned. Checks how many attempts
-// of the caller reach back ends through it once it is in touch again.
+// All machines are stopped and started again in turn, as planned. Checks how
+// many attempts of the caller reach back ends through machines that are in
+// touch.
 #include "crashingrequest.h"
 #include "repeatedrequests.h"
 
@@ -19,13 +20,12 @@
 constexpr std::size_t EntryCount = 3;
 constexpr std::size_t BackendCount = 6;
 constexpr auto RepeatPause = 400ms;
-constexpr auto OtherPause = 100ms;
-constexpr std::size_t Restarted = 2;
+constexpr auto WorkTime = 220ms; // the mean of the site's lookups
 constexpr auto GracePeriod = 6s;
 constexpr auto RestartDelay = 400ms;
 constexpr auto FirstTime = 4s;   // the request comes at all machines
 constexpr auto InTouchTime = 5s; // longer than the stability window
-constexpr auto LastTime = 5s;    // it comes at the restarted machine
+constexpr auto AgainTime = 4s;   // it comes at the restarted machine
 
 auto judge(const crashing_request &Request, case_record &Record) -> int {
   const std::size_t Late = Request.lateRetries();
@@ -38,48 +38,51 @@
   return Late > crashing_request::MaxLateRetries ? Broken : Held;
 }
 
+/// Stops the machine and starts it again; returns whether it is ready.
+auto restart(entry_process &Entry, case_record &Record) -> bool {
+  Record.write("SIGTERM to " + Entry.ip());
+  Entry.terminate(GracePeriod);
+  std::this_thread::sleep_for(RestartDelay);
+  Entry.start();
+  const bool IsReady = Entry.waitUntilReady(10s);
+  Record.write("ready again");
+  return IsReady;
+}
+
 auto runCase(case_record &Record, const bool HasTrouble) -> int {
   small_deployment Deployment(Record);
   if (!Deployment.start({EntryCount, BackendCount, "idempotent", {}, {}}))
     return CouldNotRun;
-  crashing_request Request(Deployment, Record, true);
-  std::vector<std::thread> Threads;
+  crashing_request Request(Deployment, Record, WorkTime, true);
+  std::vector<std::thread> First;
   std::atomic<bool> FirstEnds{false};
-  std::atomic<bool> Ends{false};
-  const auto Send = [&](const std::size_t Number, const std::string &Name,
-                        const std::string &Path, const milliseconds Pause,
-                        const std::atomic<bool> &Until) {
-    Threads.emplace_back([&, Number, Name, Path, Pause] {
+  for (std::size_t Number = 0; Number < EntryCount; ++Number)
+    First.emplace_back([&, Number] {
       sendRepeatedly(*Deployment.entries()[Number],
-                     Name + std::to_string(Number), Path, Pause, Record, Until);
+                     "first" + std::to_string(Number), crashing_request::Path,
+                     RepeatPause, Record, FirstEnds);
     });
-  };
-  for (std::size_t Number = 0; Number < EntryCount; ++Number) {
-    Send(Number, "first", crashing_request::Path, RepeatPause, FirstEnds);
-    if (Number != Restarted)
-      Send(Number, "other", "/orders/other", OtherPause, Ends);
-  }
   std::this_thread::sleep_for(FirstTime);
   FirstEnds = true;
-  entry_process &Entry = *Deployment.entries()[Restarted];
-  bool IsBack = true;
-  if (HasTrouble) {
-    Record.write("SIGTERM to machine " + std::to_string(Restarted));
-    Entry.terminate(GracePeriod);
-    std::this_thread::sleep_for(RestartDelay);
-    Entry.start();
-    IsBack = Entry.waitUntilReady(10s);
-    Record.write("ready again");
-  }
-  std::this_thread::sleep_for(InTouchTime);
-  Send(Restarted, "again", crashing_request::Path, RepeatPause, Ends);
-  std::this_thread::sleep_for(LastTime);
-  Ends = true;
-  for (std::thread &Thread : Threads)
+  for (std::thread &Thread : First)
     Thread.join();
+  bool AreBack = true;
+  for (std::size_t Number = 0; Number < EntryCount; ++Number) {
+    entry_process &Entry = *Deployment.entries()[Number];
+    AreBack = (!HasTrouble || restart(Entry, Record)) && AreBack;
+    std::this_thread::sleep_for(InTouchTime);
+    std::atomic<bool> Ends{false};
+    std::thread Again([&] {
+      sendRepeatedly(Entry, "again" + std::to_string(Number),
+                     crashing_request::Path, RepeatPause, Record, Ends);
+    });
+    std::this_thread::sleep_for(AgainTime);
+    Ends = true;
+    Again.join();
+  }
   Request.stop();
   const bool IsPlayed =
-      IsBack && Request.crashes() >= crashing_request::CrashesThatCount;
+      AreBack && Request.crashes() >= crashing_request::CrashesThatCount;
   return IsPlayed ? judge(Request, Record) : CouldNotRun;
 }
 
