--- a/review/standins-2/poisoncase.cpp
+++ b/review/standins-2/poisoncase.cpp
@@ -18,8 +18,9 @@
 
 constexpr std::size_t EntryCount = 3;
 constexpr std::size_t BackendCount = 6;
-constexpr auto RepeatPause = 400ms;
+constexpr auto RepeatPause = 300ms;
 constexpr auto OtherPause = 100ms;
+constexpr auto WorkTime = 1300ms; // the longest of the site's lookups
 constexpr auto PlayTime = 50s;
 
 auto judge(const crashing_request &Request, case_record &Record) -> int {
@@ -37,7 +38,7 @@
   small_deployment Deployment(Record);
   if (!Deployment.start({EntryCount, BackendCount, "idempotent", {}, {}}))
     return CouldNotRun;
-  crashing_request Request(Deployment, Record, HasTrouble);
+  crashing_request Request(Deployment, Record, WorkTime, HasTrouble);
   std::atomic<bool> Ends{false};
   std::vector<std::thread> Threads;
   const auto Send = [&](const std::size_t Number, const std::string &Name,
