--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,7 +3,14 @@
 # TROUBLE=0 leaves the planned restarts out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/platform/tarragon-entry ] && [ -x build/review-2/forgetcase ] || exit 2
-build/review-2/forgetcase review/9/record.txt
+REVIEW_FOLDER=$(mktemp -d) || exit 2
+export REVIEW_FOLDER
+build/review-2/forgetcase review/9/record.txt &
+Check=$!
+# The processes of the check end with it.
+trap 'kill "$Check" 2>/dev/null; rm -rf "$REVIEW_FOLDER"' EXIT
+trap 'exit 2' TERM INT HUP
+wait "$Check"
 Status=$?
 [ "$Status" -le 1 ] || exit 2
 exit "$Status"
--- a/review/standins-2/backend.h
+++ b/review/standins-2/backend.h
@@ -21,6 +21,9 @@
 
   static constexpr int NoAnswer = 0;
 
+  /// Called when a request arrives that it will run.
+  using arrival_handler = std::function<void(const http_message &Request)>;
+
   backend(identity Identity, object_store &Store, case_record &Record)
       : Identity(std::move(Identity)), Store(Store), Record(Record),
         Server([this](byte_stream &Stream) { serve(Stream); }) {}
@@ -43,6 +46,10 @@
     return true;
   }
 
+  auto setArrivalHandler(arrival_handler NewHandler) -> void {
+    OnArrival = std::move(NewHandler);
+  }
+
   /// Refuses further connections, as the first sign of a crash.
   auto closePort() -> void { Server.closePort(); }
 
@@ -70,6 +77,8 @@
     if (Request.field("X-Expected-Instance") != Identity.Id)
       return "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: " +
              Identity.Id + "\r\n" + Echo + "Content-Length: 0\r\n\r\n";
+    if (OnArrival)
+      OnArrival(Request);
     Record.write("run " + Id + " at " + Identity.Id + ": " + Request.StartLine);
     std::this_thread::sleep_for(WorkTime);
     const int Status = Outcome ? Outcome(Request) : 200;
@@ -87,6 +96,7 @@
   object_store &Store;
   case_record &Record;
   outcome Outcome;
+  arrival_handler OnArrival;
   tcp_server Server;
 };
 
