--- a/review/standins-2/smalldeployment.h
+++ b/review/standins-2/smalldeployment.h
@@ -43,11 +43,7 @@
   };
 
   explicit small_deployment(case_record &Record)
-      : Record(Record), Folder((std::filesystem::temp_directory_path() /
-                                ("review-2-" + std::to_string(::getpid())))
-                                   .string()) {
-    std::filesystem::create_directories(Folder);
-  }
+      : Record(Record), Folder(temporaryFolder()) {}
   ~small_deployment() {
     Entries.clear();
     Backends.clear();
